--- a/src/bin/rainlug-benchlink.rs
+++ b/src/bin/stonewharf-simhost.rs
@@ -3,19 +3,19 @@
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    let mut host = rainlug::wire::Host::default();
+    let mut host = stonewharf::wire::Host::default();
     let mut out = io::stdout().lock();
     for (number, line) in io::stdin().lock().lines().enumerate() {
         let reply = line.map_err(|e| e.to_string()).and_then(|l| host.batch(&l).map_err(|e| e.to_string()));
         let sent = match reply {
             Ok(reply) => writeln!(out, "{reply}").and_then(|()| out.flush()),
             Err(why) => {
-                eprintln!("rainlug-benchlink: line {}: {why}", number + 1);
+                eprintln!("stonewharf-simhost: line {}: {why}", number + 1);
                 return ExitCode::from(2);
             }
         };
         if let Err(why) = sent {
-            eprintln!("rainlug-benchlink: standard output: {why}");
+            eprintln!("stonewharf-simhost: standard output: {why}");
             return ExitCode::FAILURE;
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,12 +1,12 @@
-//! rainlug decides admission, placement and quality of media sessions for one controller.
+//! stonewharf decides admission, placement and quality of media sessions for one controller.
 //!
 //! Each controller splits its share of server slots into per-class pools that maximise an Erlang-loss payoff
 //! rate, lends idle slots while links have room, refuses otherwise, and re-chooses the split periodically.
 //! The library does no I/O and reads no clock: events go in with their time, actions come out.
 //!
 //! ```
-//! use rainlug::{Action, Class, ClassId, Controller, DedupScope, Effect, Entry, Event, KindId, ListScope};
-//! use rainlug::{ReportMode, Request, RequestId, Settings, Standing, StreamerId, TitleId, ViewerId, ZoneId};
+//! use stonewharf::{Action, Class, ClassId, Controller, DedupScope, Effect, Entry, Event, KindId, ListScope};
+//! use stonewharf::{ReportMode, Request, RequestId, Settings, Standing, StreamerId, TitleId, ViewerId, ZoneId};
 //!
 //! let settings = Settings {
 //!     me: 0, controllers: 1, tenants: vec![], over_share_worth: 1.0,
@@ -35,7 +35,7 @@
 //! };
 //! controller.handle(1_000, Event::Inbound(request), &mut actions);
 //! assert!(actions.iter().any(|a| matches!(a, Action::Send { streamer: StreamerId(4), .. })));
-//! # Ok::<(), rainlug::SettingsError>(())
+//! # Ok::<(), stonewharf::SettingsError>(())
 //! ```
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1,4 +1,4 @@
-//! All decisions of rainlug: admission, placement, rungs, health and the guards of the six rules.
+//! All decisions of stonewharf: admission, placement, rungs, health and the guards of the six rules.
 //! Its types, events, actions and outcomes stand in `src/interface.rs`. docs/design.md tells what comes from
 //! Chen & Verma's paper and what departs from it; marks such as [D3] below refer to the list there.
 use crate::interface::*;
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,6 +1,6 @@
 //! Hand-made settings and events for the tests.
 #![allow(dead_code)]
-use rainlug::*;
+use stonewharf::*;
 
 pub const S: u64 = 1_000_000;
 
--- a/tests/payoff.rs
+++ b/tests/payoff.rs
@@ -1,5 +1,5 @@
 //! The paper's pools: values worked out by hand, and the split against exhaustive search.
-use rainlug::{erlang_payoff, split_slots};
+use stonewharf::{erlang_payoff, split_slots};
 
 #[test]
 fn payoff_by_hand() {
--- a/tests/property.rs
+++ b/tests/property.rs
@@ -1,10 +1,10 @@
 //! Long random legal event sequences, fixed seeds, against an independent check of the rules.
 mod common;
 use common::*;
-use rainlug::*;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{RngCore, SeedableRng};
 use std::collections::BTreeMap;
+use stonewharf::*;
 
 #[derive(Clone)]
 struct Open {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -1,7 +1,7 @@
 //! Each of the six rules, and each failure found, on hand-made events.
 mod common;
 use common::*;
-use rainlug::*;
+use stonewharf::*;
 
 fn idempotent() -> Vec<Class> {
     vec![class(1.0, Effect::Idempotent)]
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -11,7 +11,7 @@
 "report":{"how":"piggyback"},"membership_mode":"pushed","my_zone":"z","kinds":["k"]}"#;
 
 fn run(lines: &[String]) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_rainlug-benchlink"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_stonewharf-simhost"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
