--- /dev/null
+++ b/src/director/counters.rs
@@ -0,0 +1,96 @@
+//! What the director takes in, sends and answers, counted for its operators.
+use std::fmt;
+
+macro_rules! counters {
+    ($($(#[$doc:meta])* $name:ident),* $(,)?) => {
+        /// Counts since the start.
+        #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+        pub struct Counters {
+            $($(#[$doc])* pub $name: u64,)*
+        }
+
+        impl Counters {
+            /// These and others together.
+            pub fn plus(&self, other: &Counters) -> Counters {
+                Counters { $($name: self.$name + other.$name,)* }
+            }
+        }
+
+        impl fmt::Display for Counters {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                let all = [$((stringify!($name), self.$name)),*];
+                for (i, (name, count)) in all.iter().enumerate() {
+                    write!(f, "{}{name}={count}", if i == 0 { "" } else { " " })?;
+                }
+                Ok(())
+            }
+        }
+    };
+}
+
+counters! {
+    /// Requests taken from viewers.
+    taken,
+    /// Sessions handed over as playing already.
+    handed_over,
+    /// Set-ups passed to streamers, further attempts among them.
+    sent,
+    /// Attempts after a request's first.
+    sent_again,
+    /// Requests answered with a session that stands.
+    served,
+    /// Requests refused.
+    refused,
+    /// Requests answered as failed.
+    failed,
+    /// Requests that their viewers gave up before the answer.
+    left_early,
+    /// Attempts that streamers turned away as full.
+    full,
+    /// Attempts that streamers answered with an error.
+    errors,
+    /// Attempts that ran out of time.
+    timed_out,
+    /// Attempts without a connection.
+    no_connection,
+    /// Attempts that broke under way.
+    broken,
+    /// Attempts withdrawn before a byte of them was sent.
+    withdrawn,
+    /// Answers that came after their attempt was given up.
+    late_answers,
+    /// Sessions that came to their end.
+    ended,
+    /// Sessions that were cut.
+    cut,
+    /// Sessions ended by their viewers.
+    viewer_ended,
+    /// Sessions moved.
+    moved,
+    /// Changes of rung while a session played.
+    rung_changes,
+    /// Notes on sessions that play.
+    notes,
+    /// Load tests sent.
+    probes,
+    /// Load tests without a good answer.
+    probes_failed,
+    /// Changes of the list of streamers.
+    list_changes,
+    /// Messages for sessions that are not held.
+    strays,
+    /// Connections taken from viewers.
+    viewer_connections,
+    /// Connections opened to streamers.
+    streamer_connections,
+    /// Connections to streamers that never came up.
+    dials_failed,
+    /// Connections ended for a malformed or oversized message.
+    malformed,
+    /// Connections closed because their peer did not read.
+    overfull,
+    /// Times that no descriptor was left to take a connection.
+    descriptors_out,
+    /// Breaks of the bulletin.
+    bulletin_breaks,
+}
--- /dev/null
+++ b/src/director/ledger.rs
@@ -0,0 +1,527 @@
+//! The session ledger: for every session its stage, its attempts, and who is owed what. It keeps three
+//! promises whatever comes in and in whatever order: a request gets one final answer, one attempt of it is
+//! out at a time, and nothing of an attempt that was given up reaches the viewer.
+use super::counters::Counters;
+use super::messages::*;
+use crate::interface::*;
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+
+/// How long after the viewer's time the ledger still leaves the final answer to the module, whose last
+/// attempt ends just then.
+const ANSWER_GRACE_US: Micros = 5_000;
+
+/// Where a session is on its way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    /// The module has it; no attempt is out.
+    Deciding,
+    /// An attempt is out.
+    Out { streamer: StreamerId, number: u32, since: Micros },
+    /// An attempt is being given up and ends so.
+    GivingUp { streamer: StreamerId, number: u32, outcome: Outcome },
+    /// It stands.
+    Standing { streamer: StreamerId, since: Micros },
+}
+
+#[derive(Debug)]
+struct Session {
+    link: ViewerLink,
+    parcel: Rc<Parcel>,
+    stage: Stage,
+    rung: usize,
+    attempts: u32,
+    deadline: Micros,
+    /// The final answer is still owed.
+    owed: bool,
+}
+
+/// What one step of the ledger leads to: events for the module and deeds outside.
+#[derive(Default)]
+pub(super) struct Outbox {
+    pub(super) events: Vec<Event>,
+    pub(super) deeds: Vec<Deed>,
+    pub(super) counters: Counters,
+}
+
+/// All sessions of the director.
+#[derive(Default)]
+pub(super) struct Ledger {
+    sessions: BTreeMap<RequestId, Session>,
+    standing_at: BTreeMap<StreamerId, BTreeSet<RequestId>>,
+    fleet: BTreeMap<StreamerId, Standing>,
+    floors: Vec<usize>,
+    max_attempts: u32,
+}
+
+fn ended(session: RequestId, number: u32, streamer: StreamerId, outcome: Outcome, last: bool) -> Event {
+    let report = LoadReport::default();
+    Event::Ended { request: session, attempt: number, streamer, outcome, last, report }
+}
+
+impl Ledger {
+    pub(super) fn new(settings: &Settings) -> Self {
+        Ledger {
+            floors: settings.classes.iter().map(|c| c.lowest_rung).collect(),
+            max_attempts: settings.max_attempts,
+            ..Ledger::default()
+        }
+    }
+
+    /// How many sessions stand at a streamer.
+    pub(super) fn standing_at(&self, streamer: StreamerId) -> usize {
+        self.standing_at.get(&streamer).map_or(0, BTreeSet::len)
+    }
+
+    /// How many requests still wait for their final answer.
+    pub(super) fn owed(&self) -> usize {
+        self.sessions.values().filter(|s| s.owed).count()
+    }
+
+    pub(super) fn hear(&mut self, now: Micros, input: Input, out: &mut Outbox) {
+        match input {
+            Input::List { scope, entries } => self.list(scope, entries, out),
+            Input::Wanted { link, request, parcel } => self.wanted(now, link, request, parcel, out),
+            Input::Playing { link, request, streamer } => self.playing(now, link, request, streamer, out),
+            Input::ViewerLeft(id) => self.viewer_left(id, out),
+            Input::LinkLost(link) => {
+                let lost = self.sessions.iter().filter(|(_, s)| s.link == link && s.owed);
+                let lost: Vec<_> = lost.map(|(id, _)| *id).collect();
+                lost.into_iter().for_each(|id| self.viewer_left(id, out));
+            }
+            Input::Stands { streamer, session, number, description } => {
+                self.stands(now, streamer, session, number, description, out);
+            }
+            Input::TurnedAway { streamer, session, number, outcome, report } => {
+                match outcome {
+                    Outcome::QueueFull => out.counters.full += 1,
+                    Outcome::Failed => out.counters.errors += 1,
+                    _ => out.counters.broken += 1,
+                }
+                self.attempt_over(session, number, streamer, outcome, report, out);
+            }
+            Input::Unsent(attempt, why) => {
+                let outcome = match why {
+                    Unsent::NoConnection => Outcome::ConnectError,
+                    Unsent::Withdrawn => Outcome::Ignored,
+                };
+                out.counters.no_connection += u64::from(why == Unsent::NoConnection);
+                out.counters.withdrawn += u64::from(why == Unsent::Withdrawn);
+                self.own_attempt_over(attempt, Some(outcome), out);
+            }
+            Input::GaveUp(attempt) => self.own_attempt_over(attempt, None, out),
+            Input::Broken(attempt) => {
+                out.counters.broken += 1;
+                self.own_attempt_over(attempt, Some(Outcome::Reset), out);
+            }
+            Input::Released { streamer, session, number, why, report } => {
+                self.released(streamer, session, number, why, report, out);
+            }
+            Input::Lost(streamer) => self.lost(streamer, Micros::MAX, out),
+            Input::Noted { streamer, session, kind, value } => {
+                let stage = self.sessions.get(&session).map(|s| s.stage);
+                if matches!(stage, Some(Stage::Standing { streamer: at, .. }) if at == streamer) {
+                    out.counters.notes += 1;
+                    out.events.push(Event::Note { request: session, streamer, kind, value });
+                } else {
+                    out.counters.strays += 1;
+                }
+            }
+            Input::Probed { streamer, outcome, report } => {
+                out.counters.probes_failed += u64::from(outcome != Outcome::Ok);
+                out.events.push(Event::Probed { streamer, outcome, report });
+            }
+            Input::Due(Due::Timer(tag)) => out.events.push(Event::Timer(tag)),
+            Input::Due(Due::Attempt(attempt)) => self.attempt_due(attempt, out),
+            Input::Due(Due::Answer(id)) => self.answer_due(id, out),
+        }
+    }
+
+    /// Carries out what the module decided.
+    pub(super) fn act(&mut self, now: Micros, action: Action, out: &mut Outbox) {
+        match action {
+            Action::Send { request, streamer, try_for_us } => {
+                self.send(now, request, streamer, try_for_us, out)
+            }
+            Action::Rate { request, rung } => {
+                let Some(session) = self.sessions.get_mut(&request) else { return };
+                session.rung = rung;
+                if let Stage::Standing { streamer, .. } = session.stage {
+                    out.counters.rung_changes += 1;
+                    out.deeds.push(Deed::Rung(streamer, request, rung));
+                }
+            }
+            Action::Refuse { request, hold_off_us } => {
+                if let Some(link) = self.settle(request) {
+                    out.counters.refused += 1;
+                    out.deeds.push(Deed::Refuse(link, request, hold_off_us));
+                }
+            }
+            Action::EndFailed(request) => {
+                if let Some(link) = self.settle(request) {
+                    out.counters.failed += 1;
+                    out.deeds.push(Deed::Fail(link, request));
+                }
+            }
+            Action::Move(request) => {
+                let Some(Session { link, stage: Stage::Standing { streamer, .. }, .. }) =
+                    self.sessions.get(&request)
+                else {
+                    return;
+                };
+                let (link, streamer) = (*link, *streamer);
+                out.counters.moved += 1;
+                out.deeds.push(Deed::MoveOff(link, request));
+                out.deeds.push(Deed::Drop(streamer, request));
+                self.over(request, streamer, Outcome::Canceled, LoadReport::default(), out);
+            }
+            Action::Probe(streamer) => {
+                out.counters.probes += 1;
+                out.deeds.push(Deed::Probe(streamer));
+            }
+            Action::Timer { after_us, tag } => {
+                out.deeds.push(Deed::Wake(now.saturating_add(after_us), Due::Timer(tag)));
+            }
+            Action::Subscribe => {} // the bulletin is always listened to
+            Action::Log(words) => out.deeds.push(Deed::Log(words)),
+        }
+    }
+
+    /// Ends everything at the director's own end: requests fail, sessions are released on both sides.
+    pub(super) fn close(&mut self, out: &mut Outbox) {
+        for (id, session) in std::mem::take(&mut self.sessions) {
+            if session.owed {
+                out.counters.failed += 1;
+                out.deeds.push(Deed::Fail(session.link, id));
+            }
+            match session.stage {
+                Stage::Standing { streamer, .. } => {
+                    out.counters.cut += 1;
+                    out.deeds.push(Deed::Release(session.link, id, Over::Cut));
+                    out.deeds.push(Deed::Drop(streamer, id));
+                }
+                Stage::Out { streamer, number, .. } => {
+                    out.deeds.push(Deed::GiveUp(streamer, Attempt { session: id, number }));
+                }
+                Stage::Deciding | Stage::GivingUp { .. } => {}
+            }
+        }
+        self.standing_at.clear();
+    }
+
+    fn list(&mut self, scope: ListScope, entries: Vec<Entry>, out: &mut Outbox) {
+        out.counters.list_changes += 1;
+        if matches!(scope, ListScope::Full | ListScope::Cached) {
+            self.fleet.clear();
+        }
+        self.fleet.extend(entries.iter().map(|e| (e.streamer, e.standing)));
+        let gone = |s: &StreamerId| self.fleet.get(s).is_none_or(|s| *s == Standing::Gone);
+        let gone: Vec<_> = self.standing_at.keys().copied().filter(gone).collect();
+        let starts: Vec<_> = entries.iter().filter_map(|e| Some((e.streamer, e.started_at?))).collect();
+        out.events.push(Event::List { scope, entries });
+        gone.into_iter().for_each(|streamer| self.lost(streamer, Micros::MAX, out));
+        // What stood before a streamer's process started is gone with the one before.
+        starts.into_iter().for_each(|(streamer, at)| self.lost(streamer, at, out));
+    }
+
+    fn wanted(
+        &mut self,
+        now: Micros,
+        link: ViewerLink,
+        request: Request,
+        parcel: Rc<Parcel>,
+        out: &mut Outbox,
+    ) {
+        let id = request.id;
+        if self.sessions.contains_key(&id) {
+            out.counters.strays += 1; // ids are never used again: this one is answered already or will be
+            return;
+        }
+        out.counters.taken += 1;
+        let deadline = now.saturating_add(request.left_us);
+        let rung = self.floors.get(request.class.0).copied().unwrap_or(0);
+        let stage = Stage::Deciding;
+        let session = Session { link, parcel, stage, rung, attempts: 0, deadline, owed: true };
+        self.sessions.insert(id, session);
+        out.deeds.push(Deed::Wake(deadline.saturating_add(ANSWER_GRACE_US), Due::Answer(id)));
+        out.events.push(Event::Inbound(request));
+    }
+
+    fn playing(
+        &mut self,
+        now: Micros,
+        link: ViewerLink,
+        request: Request,
+        streamer: StreamerId,
+        out: &mut Outbox,
+    ) {
+        let id = request.id;
+        if self.sessions.contains_key(&id) {
+            return; // it may name what is held already
+        }
+        out.counters.handed_over += 1;
+        if self.fleet.get(&streamer).is_none_or(|s| *s == Standing::Gone) {
+            out.counters.cut += 1;
+            out.deeds.push(Deed::Release(link, id, Over::Cut));
+            return;
+        }
+        let rung = self.floors.get(request.class.0).copied().unwrap_or(0);
+        let stage = Stage::Standing { streamer, since: now };
+        let parcel = Rc::default();
+        let session = Session { link, parcel, stage, rung, attempts: 0, deadline: 0, owed: false };
+        self.sessions.insert(id, session);
+        self.standing_at.entry(streamer).or_default().insert(id);
+        out.events.push(Event::Preexisting(request, streamer));
+        out.deeds.push(Deed::Attend(streamer));
+    }
+
+    fn viewer_left(&mut self, id: RequestId, out: &mut Outbox) {
+        let Some(session) = self.sessions.get_mut(&id) else {
+            out.counters.strays += 1;
+            return;
+        };
+        if let Stage::Standing { streamer, .. } = session.stage {
+            out.counters.viewer_ended += 1;
+            out.deeds.push(Deed::Drop(streamer, id));
+            return self.over(id, streamer, Outcome::Canceled, LoadReport::default(), out);
+        }
+        if std::mem::take(&mut session.owed) {
+            out.counters.left_early += 1;
+            self.abandon(id, out);
+        }
+    }
+
+    /// Nothing is owed for this request any more: an attempt that is out is given up.
+    fn abandon(&mut self, id: RequestId, out: &mut Outbox) {
+        let Some(session) = self.sessions.get_mut(&id) else { return };
+        out.events.push(Event::ClientGone(id));
+        match session.stage {
+            Stage::Out { streamer, number, .. } => {
+                session.stage = Stage::GivingUp { streamer, number, outcome: Outcome::Canceled };
+                out.deeds.push(Deed::GiveUp(streamer, Attempt { session: id, number }));
+            }
+            Stage::Deciding => {
+                self.sessions.remove(&id);
+            }
+            Stage::GivingUp { .. } | Stage::Standing { .. } => {}
+        }
+    }
+
+    fn stands(
+        &mut self,
+        now: Micros,
+        streamer: StreamerId,
+        id: RequestId,
+        number: Option<u32>,
+        description: Description,
+        out: &mut Outbox,
+    ) {
+        let stage = self.sessions.get(&id).map(|s| s.stage);
+        match (self.sessions.get_mut(&id), stage) {
+            (Some(session), Some(Stage::Out { streamer: at, number: n, since }))
+                if at == streamer && number == Some(n) =>
+            {
+                session.stage = Stage::Standing { streamer, since: now };
+                session.owed = false;
+                self.standing_at.entry(streamer).or_default().insert(id);
+                out.counters.served += 1;
+                out.deeds.push(Deed::Answer(session.link, id, description));
+                out.deeds.push(Deed::Attend(streamer));
+                let latency_us = now.saturating_sub(since);
+                out.events.push(Event::Started { request: id, streamer, latency_us });
+            }
+            (_, Some(Stage::Standing { streamer: at, .. })) if at == streamer => out.counters.strays += 1,
+            // An earlier attempt's, given up meanwhile. While another attempt is out at the same streamer a
+            // release would cut that one; the give-up, written before it, has ended the earlier one there.
+            (_, Some(Stage::Out { streamer: at, .. })) if at == streamer => out.counters.late_answers += 1,
+            _ => {
+                out.counters.late_answers += 1;
+                out.deeds.push(Deed::Drop(streamer, id));
+            }
+        }
+    }
+
+    /// An attempt ended by a word of the streamer's.
+    fn attempt_over(
+        &mut self,
+        id: RequestId,
+        number: Option<u32>,
+        from: StreamerId,
+        outcome: Outcome,
+        report: LoadReport,
+        out: &mut Outbox,
+    ) {
+        let Some(session) = self.sessions.get_mut(&id) else {
+            out.counters.strays += 1;
+            return;
+        };
+        match session.stage {
+            Stage::Out { streamer, number: n, .. } | Stage::GivingUp { streamer, number: n, .. }
+                if streamer == from && number == Some(n) =>
+            {
+                let last = !session.owed;
+                session.stage = Stage::Deciding;
+                if last {
+                    self.sessions.remove(&id);
+                }
+                out.events.push(Event::Ended { request: id, attempt: n, streamer, outcome, last, report });
+            }
+            _ => out.counters.strays += 1,
+        }
+    }
+
+    /// An attempt ended on this side; by the give-up under way where no outcome is named.
+    fn own_attempt_over(&mut self, attempt: Attempt, how: Option<Outcome>, out: &mut Outbox) {
+        let id = attempt.session;
+        let Some(session) = self.sessions.get_mut(&id) else { return };
+        let (streamer, number, outcome) = match session.stage {
+            Stage::Out { streamer, number, .. } => match how {
+                Some(outcome) => (streamer, number, outcome),
+                None => return,
+            },
+            // A give-up that found the attempt unsent proves that it never ran.
+            Stage::GivingUp { streamer, number, outcome } => {
+                (streamer, number, how.filter(|h| h.never_ran()).unwrap_or(outcome))
+            }
+            Stage::Deciding | Stage::Standing { .. } => return,
+        };
+        if number != attempt.number {
+            return;
+        }
+        let last = !session.owed;
+        session.stage = Stage::Deciding;
+        if last {
+            self.sessions.remove(&id);
+        }
+        out.events.push(ended(id, number, streamer, outcome, last));
+    }
+
+    fn released(
+        &mut self,
+        from: StreamerId,
+        id: RequestId,
+        number: Option<u32>,
+        why: Over,
+        report: LoadReport,
+        out: &mut Outbox,
+    ) {
+        let Some(session) = self.sessions.get(&id) else {
+            out.counters.strays += 1;
+            return;
+        };
+        match session.stage {
+            Stage::Standing { streamer, .. } if streamer == from => {
+                let outcome = match why {
+                    Over::Ended => Outcome::Ok,
+                    Over::Cut => Outcome::Reset,
+                    Over::Left => Outcome::Canceled,
+                };
+                match why {
+                    Over::Ended => out.counters.ended += 1,
+                    Over::Cut => out.counters.cut += 1,
+                    Over::Left => out.counters.viewer_ended += 1,
+                }
+                if why != Over::Left {
+                    out.deeds.push(Deed::Release(session.link, id, why));
+                }
+                self.over(id, streamer, outcome, report, out);
+            }
+            Stage::Out { .. } => {
+                out.counters.broken += 1;
+                self.attempt_over(id, number, from, Outcome::Reset, report, out);
+            }
+            _ => out.counters.strays += 1,
+        }
+    }
+
+    /// Takes a session that stood off the books.
+    fn over(
+        &mut self,
+        id: RequestId,
+        streamer: StreamerId,
+        outcome: Outcome,
+        report: LoadReport,
+        out: &mut Outbox,
+    ) {
+        let attempt = self.sessions.remove(&id).map_or(0, |s| s.attempts.saturating_sub(1));
+        if let Some(here) = self.standing_at.get_mut(&streamer) {
+            here.remove(&id);
+            if here.is_empty() {
+                self.standing_at.remove(&streamer);
+            }
+        }
+        out.events.push(Event::Ended { request: id, attempt, streamer, outcome, last: true, report });
+    }
+
+    /// The sessions of a streamer that have stood since before a moment are lost.
+    fn lost(&mut self, streamer: StreamerId, before: Micros, out: &mut Outbox) {
+        for id in self.standing_at.get(&streamer).cloned().unwrap_or_default() {
+            let Some(session) = self.sessions.get(&id) else { continue };
+            if matches!(session.stage, Stage::Standing { since, .. } if since >= before) {
+                continue;
+            }
+            out.counters.cut += 1;
+            out.deeds.push(Deed::Release(session.link, id, Over::Cut));
+            out.deeds.push(Deed::Drop(streamer, id)); // should it come back with the session
+            self.over(id, streamer, Outcome::Reset, LoadReport::default(), out);
+        }
+    }
+
+    fn attempt_due(&mut self, attempt: Attempt, out: &mut Outbox) {
+        let Some(session) = self.sessions.get_mut(&attempt.session) else { return };
+        match session.stage {
+            Stage::Out { streamer, number, .. } if number == attempt.number => {
+                out.counters.timed_out += 1;
+                session.stage = Stage::GivingUp { streamer, number, outcome: Outcome::TimedOut };
+                out.deeds.push(Deed::GiveUp(streamer, attempt));
+            }
+            _ => {}
+        }
+    }
+
+    /// The viewer's time is up and the module has not answered: a give-up still waits to be written.
+    fn answer_due(&mut self, id: RequestId, out: &mut Outbox) {
+        let Some(session) = self.sessions.get_mut(&id).filter(|s| s.owed) else { return };
+        session.owed = false;
+        out.counters.failed += 1;
+        out.deeds.push(Deed::Fail(session.link, id));
+        self.abandon(id, out);
+    }
+
+    fn send(
+        &mut self,
+        now: Micros,
+        id: RequestId,
+        streamer: StreamerId,
+        try_for_us: Micros,
+        out: &mut Outbox,
+    ) {
+        let up = self.fleet.get(&streamer) == Some(&Standing::Up);
+        let Some(session) = self.sessions.get_mut(&id).filter(|s| s.owed && s.stage == Stage::Deciding)
+        else {
+            return out.events.push(ended(id, 0, streamer, Outcome::Ignored, true));
+        };
+        let number = session.attempts;
+        if number >= self.max_attempts || !up {
+            return out.events.push(ended(id, number, streamer, Outcome::Ignored, false));
+        }
+        out.counters.sent += 1;
+        out.counters.sent_again += u64::from(number > 0);
+        session.attempts += 1;
+        session.stage = Stage::Out { streamer, number, since: now };
+        let try_for = if try_for_us == 0 { Micros::MAX } else { try_for_us };
+        let until = now.saturating_add(try_for).min(session.deadline);
+        let attempt = Attempt { session: id, number };
+        let (rung, parcel) = (session.rung, Rc::clone(&session.parcel));
+        out.deeds.push(Deed::Wake(until, Due::Attempt(attempt)));
+        out.deeds.push(Deed::SetUp { streamer, attempt, rung, until, parcel });
+    }
+
+    /// Takes a request off the books for its final answer; `None` where none is owed.
+    fn settle(&mut self, id: RequestId) -> Option<ViewerLink> {
+        let session = self.sessions.get(&id).filter(|s| s.owed && s.stage == Stage::Deciding)?;
+        let link = session.link;
+        self.sessions.remove(&id);
+        Some(link)
+    }
+}
--- /dev/null
+++ b/src/director/mod.rs
@@ -0,0 +1,69 @@
+//! The real director's core: the decision module with the session ledger round it. It does no I/O and reads
+//! no clock, so that any platform's front can be set before it.
+mod counters;
+mod deadlines;
+mod ledger;
+mod messages;
+
+pub use counters::Counters;
+pub use deadlines::Deadlines;
+pub use messages::*;
+
+use crate::interface::*;
+use crate::rules::Controller;
+use ledger::{Ledger, Outbox};
+
+/// The core of one director.
+pub struct Director {
+    controller: Controller,
+    ledger: Ledger,
+    outbox: Outbox,
+}
+
+impl Director {
+    /// A director at its start.
+    pub fn new(settings: Settings, seed: u64, now: Micros) -> Result<Self, SettingsError> {
+        let ledger = Ledger::new(&settings);
+        Ok(Director { controller: Controller::new(settings, seed, now)?, ledger, outbox: Outbox::default() })
+    }
+
+    /// One turn: books all that has come in, hands it to the module in one go, returns what is to be done.
+    pub fn turn(&mut self, now: Micros, inputs: impl IntoIterator<Item = Input>) -> Vec<Deed> {
+        for input in inputs {
+            self.ledger.hear(now, input, &mut self.outbox);
+        }
+        // A second round only where an action found its request gone: the module is told that it was ignored.
+        while !self.outbox.events.is_empty() {
+            let mut actions = Vec::new();
+            for event in std::mem::take(&mut self.outbox.events) {
+                self.controller.handle(now, event, &mut actions);
+            }
+            for action in actions {
+                self.ledger.act(now, action, &mut self.outbox);
+            }
+        }
+        std::mem::take(&mut self.outbox.deeds)
+    }
+
+    /// Ends everything at the director's own end.
+    pub fn close(&mut self) -> Vec<Deed> {
+        self.ledger.close(&mut self.outbox);
+        self.outbox.events.clear();
+        std::mem::take(&mut self.outbox.deeds)
+    }
+
+    /// How many sessions stand at a streamer.
+    pub fn standing_at(&self, streamer: StreamerId) -> usize {
+        self.ledger.standing_at(streamer)
+    }
+
+    /// How many requests wait for their final answer.
+    pub fn owed(&self) -> usize {
+        self.ledger.owed()
+    }
+
+    /// The counters; the transport adds its own.
+    pub fn counters(&mut self) -> &mut Counters {
+        &mut self.outbox.counters
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,7 +6,8 @@
 //!
 //! ```
 //! use stonewharf::{Action, Class, ClassId, Controller, DedupScope, Effect, Entry, Event, KindId, ListScope};
-//! use stonewharf::{ReportMode, Request, RequestId, Settings, Standing, StreamerId, TitleId, ViewerId, ZoneId};
+//! use stonewharf::{ReportMode, Request, RequestId, Settings, Standing, StreamerId, TitleId};
+//! use stonewharf::{ViewerId, ZoneId};
 //!
 //! let settings = Settings {
 //!     me: 0, controllers: 1, tenants: vec![], over_share_worth: 1.0,
@@ -37,11 +38,15 @@
 //! assert!(actions.iter().any(|a| matches!(a, Action::Send { streamer: StreamerId(4), .. })));
 //! # Ok::<(), stonewharf::SettingsError>(())
 //! ```
-#![forbid(unsafe_code)]
+#![deny(unsafe_code)] // but for `net::poll`, which says why
 #![warn(missing_docs)]
 
+pub mod director;
 mod interface;
+pub mod net;
+pub mod platform;
 mod rules;
+pub mod settings;
 pub mod wire;
 
 pub use interface::*;
--- /dev/null
+++ b/src/net/bulletin.rs
@@ -0,0 +1,145 @@
+//! The connection to the bulletin: resumed where it broke off, given up when it falls silent.
+use super::line::{Got, Line};
+use super::poll::Token;
+use super::shared::{Due, Shared};
+use crate::interface::Micros;
+use crate::platform::MESSAGE_MAX;
+use crate::platform::bulletin::{self, Notice};
+use slog::{debug, warn};
+use std::net::SocketAddr;
+
+/// The bulletin writes every second; silent for this long it is taken for broken.
+const SILENT_US: Micros = 2_500_000;
+/// A connection must be up by then.
+const DIAL_US: Micros = 500_000;
+const BACK_OFF_US: Micros = 50_000;
+const BACK_OFF_MOST_US: Micros = 1_000_000;
+/// The longest line: a whole list of a large fleet.
+const LINE_MOST: usize = 512 * MESSAGE_MAX;
+
+/// The bulletin as this director follows it.
+pub struct Bulletin {
+    address: SocketAddr,
+    line: Option<Line>,
+    up: bool,
+    last: u64,
+    /// By when something must be heard, or when to connect again.
+    due: Micros,
+    back_off: Micros,
+}
+
+impl Bulletin {
+    /// Follows the bulletin at an address from after an event.
+    pub fn new(address: SocketAddr, last: u64) -> Self {
+        Bulletin { address, line: None, up: false, last, due: 0, back_off: BACK_OFF_US }
+    }
+
+    /// Whether a token is its connection's.
+    pub fn has(&self, token: Token) -> bool {
+        self.line.as_ref().is_some_and(|l| l.token() == token)
+    }
+
+    /// Looks after the connection when a deadline of it has come.
+    pub fn due(&mut self, shared: &mut Shared) {
+        if shared.now < self.due {
+            return; // something was heard meanwhile
+        }
+        if self.line.is_some() {
+            return self.broke(shared, "silent");
+        }
+        match Line::dial(&mut shared.poll, self.address) {
+            Ok(line) => {
+                (self.line, self.up) = (Some(line), false);
+                self.expect(shared, DIAL_US);
+            }
+            Err(why) => self.broke(shared, &why.to_string()),
+        }
+    }
+
+    fn expect(&mut self, shared: &mut Shared, within: Micros) {
+        self.due = shared.now.saturating_add(within);
+        shared.deadlines.set(self.due, Due::Bulletin);
+    }
+
+    fn broke(&mut self, shared: &mut Shared, why: &str) {
+        shared.counters.bulletin_breaks += 1;
+        warn!(shared.log, "bulletin broke off: {why}"; "after" => self.last);
+        self.line = None;
+        let wait = self.back_off;
+        self.back_off = (wait * 2).min(BACK_OFF_MOST_US);
+        self.expect(shared, wait);
+    }
+
+    /// Reads and writes its connection; returns the new events, in order and each once.
+    pub fn ready(&mut self, shared: &mut Shared, readable: bool, writable: bool) -> Vec<Notice> {
+        let Some(line) = self.line.as_mut() else { return Vec::new() };
+        if writable && !self.up {
+            if let Err(why) = line.outcome() {
+                self.broke(shared, &why.to_string());
+                return Vec::new();
+            }
+            self.up = true;
+            line.put(&bulletin::ask_after(self.last));
+        }
+        if writable && let Err(why) = line.write() {
+            self.broke(shared, &why.to_string());
+            return Vec::new();
+        }
+        if !readable {
+            return Vec::new();
+        }
+        let got = line.read();
+        let lines = match line.take(whole_line) {
+            Ok(lines) => lines,
+            Err(()) => {
+                shared.counters.malformed += 1;
+                self.broke(shared, "an endless line");
+                return Vec::new();
+            }
+        };
+        if !lines.is_empty() {
+            self.back_off = BACK_OFF_US;
+            self.expect(shared, SILENT_US);
+        }
+        let mut news = Vec::new();
+        for text in lines.iter().filter(|l| !l.is_empty()) {
+            match bulletin::read(text) {
+                Ok(bulletin::Line::Last(last)) if last > self.last => {
+                    self.broke(shared, "events were left out");
+                    return news;
+                }
+                Ok(bulletin::Line::Last(_)) => {}
+                Ok(bulletin::Line::Notice(notice)) if notice.no <= self.last => {
+                    debug!(shared.log, "an event came twice"; "no" => notice.no);
+                }
+                Ok(bulletin::Line::Notice(notice)) if notice.no > self.last + 1 => {
+                    self.broke(shared, "events were left out");
+                    return news;
+                }
+                Ok(bulletin::Line::Notice(notice)) => {
+                    self.last = notice.no;
+                    news.push(notice);
+                }
+                Err(why) => {
+                    shared.counters.malformed += 1;
+                    self.broke(shared, &why.to_string());
+                    return news;
+                }
+            }
+        }
+        match got {
+            Ok(Got::Bytes) => {}
+            Ok(Got::End) => self.broke(shared, "closed"),
+            Err(why) => self.broke(shared, &why.to_string()),
+        }
+        news
+    }
+}
+
+fn whole_line(bytes: &[u8]) -> Result<Option<(Vec<u8>, usize)>, ()> {
+    match bytes.iter().position(|b| *b == b'\n') {
+        Some(end) => Ok(Some((bytes.get(..end).unwrap_or_default().to_vec(), end + 1))),
+        None if bytes.len() > LINE_MOST => Err(()),
+        None => Ok(None),
+    }
+}
--- /dev/null
+++ b/src/net/line.rs
@@ -0,0 +1,137 @@
+//! A connection's socket with its buffers: partial reads and writes, bounded on both sides.
+use super::poll::{Poll, Token, Watched};
+use rustix::io::Errno;
+use socket2::{Domain, Protocol, Socket, Type};
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+
+/// Bytes read from one connection in one turn at most, so that none keeps the others waiting.
+const READ_MOST: usize = 64 * 1024;
+
+/// What reading brought.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Got {
+    /// Perhaps more bytes; the connection goes on.
+    Bytes,
+    /// The peer has closed its side in order.
+    End,
+}
+
+/// A connection.
+pub struct Line {
+    socket: Watched<TcpStream>,
+    inbox: Vec<u8>,
+    outbox: Vec<u8>,
+    written: usize,
+}
+
+impl Line {
+    /// Takes a connection that is up.
+    pub fn accepted(poll: &mut Poll, stream: TcpStream) -> io::Result<Self> {
+        stream.set_nonblocking(true)?;
+        stream.set_nodelay(true)?;
+        Line::new(poll, stream, false)
+    }
+
+    /// Begins to connect; readiness to write tells when that is over, [`Line::outcome`] how.
+    pub fn dial(poll: &mut Poll, to: SocketAddr) -> io::Result<Self> {
+        let socket = Socket::new(Domain::for_address(to), Type::STREAM, Some(Protocol::TCP))?;
+        socket.set_nonblocking(true)?;
+        socket.set_tcp_nodelay(true)?;
+        match socket.connect(&to.into()) {
+            Ok(()) => {}
+            Err(e) if Errno::from_io_error(&e) == Some(Errno::INPROGRESS) => {}
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+            Err(e) => return Err(e),
+        }
+        Line::new(poll, socket.into(), true)
+    }
+
+    fn new(poll: &mut Poll, stream: TcpStream, writable: bool) -> io::Result<Self> {
+        let socket = poll.watch(stream, writable)?;
+        Ok(Line { socket, inbox: Vec::new(), outbox: Vec::new(), written: 0 })
+    }
+
+    /// How the connecting ended.
+    pub fn outcome(&mut self) -> io::Result<()> {
+        if let Some(why) = self.socket.source().take_error()? {
+            return Err(why);
+        }
+        self.socket.source().peer_addr()?;
+        self.socket.interest(true, false)
+    }
+
+    /// Its token.
+    pub fn token(&self) -> Token {
+        self.socket.token()
+    }
+
+    /// Reads what has come.
+    pub fn read(&mut self) -> io::Result<Got> {
+        let mut chunk = [0; 16 * 1024];
+        let mut total = 0;
+        while total < READ_MOST {
+            match self.socket.source().read(&mut chunk) {
+                Ok(0) => return Ok(Got::End),
+                Ok(n) => {
+                    self.inbox.extend_from_slice(chunk.get(..n).unwrap_or_default());
+                    total += n;
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) => return Err(e),
+            }
+        }
+        Ok(Got::Bytes)
+    }
+
+    /// Takes whole messages off what has been read, one at a time, with `parse`.
+    pub fn take<M, E>(
+        &mut self,
+        parse: impl Fn(&[u8]) -> Result<Option<(M, usize)>, E>,
+    ) -> Result<Vec<M>, E> {
+        let (mut messages, mut at) = (Vec::new(), 0);
+        let done = loop {
+            match parse(self.inbox.get(at..).unwrap_or_default()) {
+                Ok(Some((message, length))) => {
+                    messages.push(message);
+                    at += length;
+                }
+                Ok(None) => break Ok(messages),
+                Err(e) => break Err(e),
+            }
+        };
+        self.inbox.drain(..at.min(self.inbox.len()));
+        done
+    }
+
+    /// Adds bytes to what is to be written.
+    pub fn put(&mut self, bytes: &[u8]) {
+        self.outbox.extend_from_slice(bytes);
+    }
+
+    /// Bytes that are still to be written.
+    pub fn unwritten(&self) -> usize {
+        self.outbox.len() - self.written
+    }
+
+    /// Writes as much as the socket takes; tells whether all is written.
+    pub fn write(&mut self) -> io::Result<bool> {
+        while self.written < self.outbox.len() {
+            match self.socket.source().write(self.outbox.get(self.written..).unwrap_or_default()) {
+                Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+                Ok(n) => self.written += n,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                    self.socket.interest(true, true)?;
+                    return Ok(false);
+                }
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) => return Err(e),
+            }
+        }
+        self.outbox.clear();
+        self.written = 0;
+        self.socket.interest(true, false)?;
+        Ok(true)
+    }
+}
--- /dev/null
+++ b/src/net/logging.rs
@@ -0,0 +1,39 @@
+//! The program's log on standard error. Lines go through a bounded queue to a thread of their own: a slow or
+//! closed standard error loses lines and never holds the loop up.
+use slog::{Drain, Level, Logger, o};
+use std::io;
+use std::sync::mpsc;
+use std::thread;
+use std::time::Duration;
+
+const QUEUE: usize = 1024;
+/// How long the last lines may take at the end.
+const LAST_LINES: Duration = Duration::from_millis(500);
+
+/// Keeps the log's thread; see [`Guard::finish`].
+pub struct Guard(slog_async::AsyncGuard);
+
+/// A logger for lines from a level on.
+pub fn to_stderr(level: Level) -> (Logger, Guard) {
+    let decorator = slog_term::PlainDecorator::new(io::stderr());
+    let lines = slog_term::FullFormat::new(decorator).use_utc_timestamp().build();
+    let (queued, guard) = slog_async::Async::new(lines.ignore_res())
+        .chan_size(QUEUE)
+        .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
+        .build_with_guard();
+    (Logger::root(queued.filter_level(level).ignore_res(), o!()), Guard(guard))
+}
+
+impl Guard {
+    /// Waits until the last lines are out, but not for long.
+    pub fn finish(self) {
+        let (done, finished) = mpsc::channel();
+        let spawned = thread::Builder::new().spawn(move || {
+            drop(self.0);
+            let _ = done.send(());
+        });
+        if spawned.is_ok() {
+            let _ = finished.recv_timeout(LAST_LINES);
+        }
+    }
+}
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,331 @@
+//! The loop: one thread, one poller. Each turn gathers what is ready, hands it to the core in one go, and
+//! carries out what came back. It decides nothing.
+mod bulletin;
+mod line;
+pub mod logging;
+mod poll;
+mod shared;
+mod signals;
+mod streamers;
+mod viewers;
+
+use crate::director::{Counters, Deed, Director, Input, Over, Parcel, ViewerLink};
+use crate::interface::{ListScope, Micros, RequestId, SettingsError, StreamerId};
+use crate::platform::bulletin::Notice;
+use crate::platform::config::{Config, ConfigError};
+use crate::platform::rtsp;
+use crate::platform::viewer::{self, FromViewer, SetUp};
+use crate::settings::{Carriage, NameError, Vocabulary, Wanted};
+use bulletin::Bulletin;
+use poll::Poll;
+use shared::{Due, Shared};
+use signals::{Asked, Signals};
+use slog::{Logger, info, warn};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use streamers::Streamers;
+use viewers::Viewers;
+
+/// Part of the viewer's time that is kept back, so that an answer at its end is still in time.
+const ANSWER_MARGIN_US: Micros = 25_000;
+/// The longest deadline that the grace time after SIGTERM counts, and what comes on top.
+const GRACE_DEADLINE_MOST_US: Micros = 3_000_000;
+const GRACE_MORE_US: Micros = 600_000;
+/// Rounds of core and transport in one turn; what is left then is taken up in the next.
+const ROUNDS: usize = 16;
+/// Descriptors that are neither viewers' nor streamers': standard streams, poller, signals, bulletin, spare.
+const OWN_DESCRIPTORS: usize = 24;
+
+/// Why a director can't start or go on.
+#[derive(Debug, thiserror::Error)]
+pub enum NodeError {
+    /// The configuration is of no use.
+    #[error(transparent)]
+    Config(#[from] ConfigError),
+    /// The settings in it are of no use.
+    #[error("configuration: {0}")]
+    Names(#[from] NameError),
+    /// The module refuses the settings.
+    #[error("configuration: unusable settings: {0}")]
+    Settings(#[from] SettingsError),
+    /// The address can't be listened on.
+    #[error("can't listen on {0}: {1}")]
+    Listen(SocketAddr, io::Error),
+    /// The machine refuses what the loop needs.
+    #[error("the loop can't go on: {0}")]
+    Loop(#[from] io::Error),
+}
+
+/// Unix time, read once, and the monotonic clock from there on: it never goes back, and starts of streamers
+/// before our own lie in its past.
+struct Clock {
+    unix_us: Micros,
+    began: Instant,
+}
+
+impl Clock {
+    fn start() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { unix_us: unix.as_micros() as Micros, began: Instant::now() }
+    }
+
+    fn now(&self) -> Micros {
+        self.unix_us.saturating_add(self.began.elapsed().as_micros() as Micros)
+    }
+}
+
+/// One director on its sockets.
+pub struct Node {
+    clock: Clock,
+    director: Director,
+    names: Vocabulary,
+    carriage: Carriage,
+    shared: Shared,
+    signals: Signals,
+    viewers: Viewers,
+    streamers: Streamers,
+    bulletin: Bulletin,
+    ending: bool,
+    done: bool,
+}
+
+impl Node {
+    /// A director as configured; listens from here on.
+    pub fn new(config: &Config, log: Logger) -> Result<Self, NodeError> {
+        let clock = Clock::start();
+        let now = clock.now();
+        let (settings, names, carriage) = Vocabulary::read(&config.settings)?;
+        let director = Director::new(settings, config.seed()?, now)?;
+        let mut poll = Poll::new()?;
+        let signals = Signals::take(&mut poll)?;
+        let (deadlines, inputs) = Default::default();
+        let mut shared = Shared { poll, deadlines, inputs, counters: Counters::default(), log, now };
+        let sockets = config.limits.sockets.saturating_sub(OWN_DESCRIPTORS);
+        let viewers = Viewers::listen(&mut shared, config.listen, sockets / 2)
+            .map_err(|why| NodeError::Listen(config.listen, why))?;
+        let streamers = Streamers::new(carriage.clone(), sockets / 2);
+        let bulletin = Bulletin::new(config.bulletin, config.known.no);
+        let (ending, done) = (false, false);
+        let mut node = Node {
+            clock,
+            director,
+            names,
+            carriage,
+            shared,
+            signals,
+            viewers,
+            streamers,
+            bulletin,
+            ending,
+            done,
+        };
+        config.known.items.iter().for_each(|notice| node.notice(notice, true));
+        node.bulletin.due(&mut node.shared);
+        node.shared.wake(streamers::WATCH_US, Due::Watch);
+        Ok(node)
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> io::Result<SocketAddr> {
+        self.viewers.address()
+    }
+
+    /// What has been counted so far.
+    pub fn counters(&mut self) -> Counters {
+        let transport = self.shared.counters;
+        self.director.counters().plus(&transport)
+    }
+
+    /// Serves until SIGTERM and the grace time after it.
+    pub fn run(&mut self) -> Result<(), NodeError> {
+        info!(self.shared.log, "serves"; "at" => %self.address()?);
+        while !self.done {
+            self.turn(None)?;
+        }
+        let counters = self.counters();
+        info!(self.shared.log, "ended"; "counters" => %counters);
+        Ok(())
+    }
+
+    /// One turn of the loop; waits for something to do, at most as long as said.
+    pub fn turn(&mut self, most: Option<Duration>) -> Result<(), NodeError> {
+        let next = self.shared.deadlines.next();
+        let until = next.map(|at| Duration::from_micros(at.saturating_sub(self.clock.now())));
+        let left_over = (!self.shared.inputs.is_empty()).then_some(Duration::ZERO);
+        let wait = [most, until, left_over].into_iter().flatten().min();
+        let ready = self.shared.poll.wait(wait)?;
+        self.shared.now = self.clock.now();
+        for (token, readable, writable) in ready {
+            self.ready(token, readable, writable);
+        }
+        while let Some(due) = self.shared.deadlines.due(self.shared.now) {
+            self.due(due);
+        }
+        for _ in 0..ROUNDS {
+            if self.shared.inputs.is_empty() {
+                break;
+            }
+            let inputs = std::mem::take(&mut self.shared.inputs);
+            let deeds = self.director.turn(self.shared.now, inputs);
+            deeds.into_iter().for_each(|deed| self.carry_out(deed));
+        }
+        Ok(())
+    }
+
+    fn ready(&mut self, token: usize, readable: bool, writable: bool) {
+        let shared = &mut self.shared;
+        if self.viewers.has(token) {
+            let messages = self.viewers.ready(shared, token, readable, writable);
+            messages.into_iter().for_each(|message| self.heard_viewer(ViewerLink(token), message));
+            if !self.viewers.has(token) {
+                self.shared.inputs.push(Input::LinkLost(ViewerLink(token)));
+            }
+        } else if self.streamers.has(token) {
+            self.streamers.ready(shared, token, readable, writable);
+        } else if self.viewers.is_listener(token) {
+            self.viewers.accept(shared);
+        } else if self.bulletin.has(token) {
+            let news = self.bulletin.ready(shared, readable, writable);
+            news.iter().for_each(|notice| self.notice(notice, false));
+        } else if let Some(asked) = self.signals.asked(token) {
+            match asked {
+                Asked::Counters => {
+                    let counters = self.counters();
+                    info!(self.shared.log, "counters"; "counters" => %counters);
+                }
+                Asked::End => self.end(),
+            }
+        }
+    }
+
+    /// Begins the end: new requests are taken and answered through the grace time.
+    fn end(&mut self) {
+        if std::mem::replace(&mut self.ending, true) {
+            return;
+        }
+        let grace = self.carriage.longest_us().min(GRACE_DEADLINE_MOST_US) + GRACE_MORE_US;
+        info!(self.shared.log, "asked to end"; "grace_ms" => grace / 1000);
+        self.shared.wake(grace, Due::Quit);
+    }
+
+    fn due(&mut self, due: Due) {
+        let shared = &mut self.shared;
+        match due {
+            Due::Core(due) => shared.inputs.push(Input::Due(due)),
+            Due::Dial(token) => self.streamers.dial_due(shared, token),
+            Due::Probe(token, id) => self.streamers.probe_due(shared, token, id),
+            Due::GiveUp(token, attempt) => self.streamers.give_up_due(shared, token, attempt),
+            Due::Watch => {
+                self.streamers.watch(shared, |s| self.director.standing_at(s));
+                shared.wake(streamers::WATCH_US, Due::Watch);
+            }
+            Due::Bulletin => self.bulletin.due(shared),
+            Due::Accept => self.viewers.resume(shared),
+            Due::Quit => {
+                let deeds = self.director.close();
+                deeds.into_iter().for_each(|deed| self.carry_out(deed));
+                self.done = true;
+            }
+        }
+    }
+
+    fn heard_viewer(&mut self, link: ViewerLink, message: FromViewer) {
+        match message {
+            FromViewer::SetUp(set_up) => self.wanted(link, *set_up),
+            FromViewer::Left(id) => self.shared.inputs.push(Input::ViewerLeft(id)),
+            FromViewer::Test(id) => {
+                let result = viewer::test_result(id, !self.ending);
+                self.viewers.say(&mut self.shared, link, &result);
+            }
+            FromViewer::Idle => {}
+        }
+    }
+
+    fn wanted(&mut self, link: ViewerLink, set_up: SetUp) {
+        let id = RequestId(set_up.session);
+        let class = self.names.class(&set_up.class);
+        let usual = class.ok().and_then(|c| self.carriage.deadlines_us.get(c.0)).copied();
+        let wait_us = set_up.wait_ms.map(|ms| ms.saturating_mul(1000)).or(usual).unwrap_or(0);
+        let wanted = Wanted {
+            id: set_up.session,
+            class: &set_up.class,
+            tenant: None,
+            title: &set_up.title,
+            viewer: &set_up.viewer,
+            start_cell: set_up.home,
+            cells_in_row: set_up.copies,
+            max_rung: set_up.top,
+            left_us: wait_us.saturating_sub(ANSWER_MARGIN_US),
+            returned: set_up.again || set_up.retry,
+        };
+        let request = match self.names.request(&wanted) {
+            Ok(request) => request,
+            Err(why) => {
+                warn!(self.shared.log, "a set-up can't be taken: {why}");
+                self.shared.counters.failed += 1;
+                return self.viewers.say(&mut self.shared, link, &viewer::release(id, viewer::CAUSE_FAILED));
+            }
+        };
+        self.shared.inputs.push(match &set_up.at {
+            Some(at) => Input::Playing { link, request, streamer: StreamerId(self.names.streamers.id(at)) },
+            None => {
+                let SetUp { class, title, description, .. } = set_up;
+                Input::Wanted { link, request, parcel: Rc::new(Parcel { class, title, description }) }
+            }
+        });
+    }
+
+    fn notice(&mut self, notice: &Notice, known: bool) {
+        let Some(roster) = &notice.roster else { return };
+        let entries = match roster.entries(&mut self.names) {
+            Ok(entries) => entries,
+            Err(why) => {
+                self.shared.counters.malformed += 1;
+                warn!(self.shared.log, "an event of the bulletin can't be read: {why}"; "no" => notice.no);
+                return;
+            }
+        };
+        let scope = match roster.scope() {
+            ListScope::Full if known => ListScope::Cached,
+            scope => scope,
+        };
+        self.streamers.list(&mut self.shared, scope, &entries);
+        let entries = entries.into_iter().map(|e| e.0).collect();
+        self.shared.inputs.push(Input::List { scope, entries });
+    }
+
+    fn carry_out(&mut self, deed: Deed) {
+        let shared = &mut self.shared;
+        match deed {
+            Deed::Answer(link, id, description) => match viewer::answer(id, &description) {
+                Some(bytes) => self.viewers.say(shared, link, &bytes),
+                None => self.viewers.say(shared, link, &viewer::release(id, viewer::CAUSE_FAILED)),
+            },
+            Deed::Refuse(link, id, hold_off_us) => {
+                self.viewers.say(shared, link, &viewer::refusal(id, hold_off_us / 1000));
+            }
+            Deed::Fail(link, id) => {
+                self.viewers.say(shared, link, &viewer::release(id, viewer::CAUSE_FAILED));
+            }
+            Deed::Release(link, id, why) => {
+                let cause = if why == Over::Ended { viewer::CAUSE_ENDED } else { viewer::CAUSE_FAILED };
+                self.viewers.release(shared, link, viewer::release(id, cause));
+            }
+            Deed::MoveOff(link, id) => self.viewers.release(shared, link, viewer::move_off(id)),
+            Deed::SetUp { streamer, attempt, rung, until, parcel } => {
+                self.streamers.set_up(shared, streamer, attempt, rung, until, parcel);
+            }
+            Deed::GiveUp(streamer, attempt) => self.streamers.give_up(shared, streamer, attempt),
+            Deed::Drop(streamer, id) => self.streamers.word(shared, streamer, rtsp::release(id)),
+            Deed::Rung(streamer, id, rung) => {
+                self.streamers.word(shared, streamer, rtsp::rung(id, rung));
+            }
+            Deed::Probe(streamer) => self.streamers.probe(shared, streamer),
+            Deed::Attend(streamer) => self.streamers.attend(shared, streamer),
+            Deed::Wake(at, due) => shared.deadlines.set(at, Due::Core(due)),
+            Deed::Log(words) => info!(shared.log, "{words}"),
+        }
+    }
+}
--- /dev/null
+++ b/src/net/poll.rs
@@ -0,0 +1,85 @@
+//! The one place with unsafe code: `polling` leaves it to its caller that a source is taken out of the
+//! poller before it is closed. [`Watched`] owns both sides and sees to that; the rest of the crate is safe.
+#![allow(unsafe_code)]
+use polling::{Event, Events, PollMode, Poller};
+use std::io;
+use std::os::fd::AsFd;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Names a watched source; never given out twice.
+pub type Token = usize;
+
+/// The poller of the loop.
+pub struct Poll {
+    poller: Arc<Poller>,
+    events: Events,
+    last: Token,
+}
+
+impl Poll {
+    /// A poller that watches nothing yet.
+    pub fn new() -> io::Result<Self> {
+        Ok(Poll { poller: Arc::new(Poller::new()?), events: Events::new(), last: 0 })
+    }
+
+    /// Watches a source for readiness to read and, where wanted, to write, until it is dropped.
+    pub fn watch<S: AsFd>(&mut self, source: S, writable: bool) -> io::Result<Watched<S>> {
+        self.last += 1;
+        let token = self.last;
+        // SAFETY: `Watched` owns the source, never gives it away or replaces it, and takes it out of the
+        // poller when dropped, before the source itself is closed; the poller lives as long, by its `Arc`.
+        unsafe {
+            let interest = Event::new(token, true, writable);
+            self.poller.add_with_mode(&source.as_fd(), interest, PollMode::Level)?;
+        }
+        Ok(Watched { source, poller: Arc::clone(&self.poller), token, writable, readable: true })
+    }
+
+    /// Waits until something is ready, at most `most`, and returns what: token, readable, writable.
+    pub fn wait(&mut self, most: Option<Duration>) -> io::Result<Vec<(Token, bool, bool)>> {
+        self.events.clear();
+        match self.poller.wait(&mut self.events, most) {
+            Ok(_) => Ok(self.events.iter().map(|e| (e.key, e.readable, e.writable)).collect()),
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => Ok(Vec::new()),
+            Err(e) => Err(e),
+        }
+    }
+}
+
+/// A source that the poller watches for as long as this lives.
+pub struct Watched<S: AsFd> {
+    source: S,
+    poller: Arc<Poller>,
+    token: Token,
+    readable: bool,
+    writable: bool,
+}
+
+impl<S: AsFd> Watched<S> {
+    /// Its token.
+    pub fn token(&self) -> Token {
+        self.token
+    }
+
+    /// The source.
+    pub fn source(&self) -> &S {
+        &self.source
+    }
+
+    /// Sets what it is watched for.
+    pub fn interest(&mut self, readable: bool, writable: bool) -> io::Result<()> {
+        if (readable, writable) == (self.readable, self.writable) {
+            return Ok(());
+        }
+        (self.readable, self.writable) = (readable, writable);
+        let interest = Event::new(self.token, readable, writable);
+        self.poller.modify_with_mode(self.source.as_fd(), interest, PollMode::Level)
+    }
+}
+
+impl<S: AsFd> Drop for Watched<S> {
+    fn drop(&mut self) {
+        let _ = self.poller.delete(self.source.as_fd()); // it may have failed already; then nothing is left
+    }
+}
--- /dev/null
+++ b/src/net/shared.rs
@@ -0,0 +1,49 @@
+//! What all parts of the loop work with in a turn.
+use super::poll::{Poll, Token};
+use crate::director::{self, Attempt, Counters, Deadlines, Input};
+use crate::interface::{Micros, RequestId};
+use slog::Logger;
+
+/// Every deadline of the program, the core's among them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Due {
+    /// The core's own.
+    Core(director::Due),
+    /// A connection to a streamer must be up by now.
+    Dial(Token),
+    /// A load test must be answered by now.
+    Probe(Token, RequestId),
+    /// A give-up must be written by now.
+    GiveUp(Token, Attempt),
+    /// Look after the connections to streamers.
+    Watch,
+    /// Look after the bulletin.
+    Bulletin,
+    /// Take connections again.
+    Accept,
+    /// The grace time after SIGTERM is over.
+    Quit,
+}
+
+/// The loop's tools, and what it has gathered for the core.
+pub struct Shared {
+    /// The poller.
+    pub poll: Poll,
+    /// All deadlines.
+    pub deadlines: Deadlines<Due>,
+    /// What the core is to hear this turn.
+    pub inputs: Vec<Input>,
+    /// What the transport counts.
+    pub counters: Counters,
+    /// The program's log.
+    pub log: Logger,
+    /// The time of this turn.
+    pub now: Micros,
+}
+
+impl Shared {
+    /// Sets a deadline from now.
+    pub fn wake(&mut self, after: Micros, due: Due) {
+        self.deadlines.set(self.now.saturating_add(after), due);
+    }
+}
--- /dev/null
+++ b/src/platform/bulletin.rs
@@ -0,0 +1,101 @@
+//! The lines of the bulletin: events of the list of streamers, and the last number alone every second.
+use crate::interface::{Entry, ListScope, Micros, Standing};
+use crate::settings::{Listed, Vocabulary};
+use serde::Deserialize;
+use std::net::SocketAddr;
+
+/// A line of the bulletin that can't be read.
+#[derive(Debug, thiserror::Error)]
+pub enum BulletinError {
+    /// Not JSON of the right form.
+    #[error("bad line: {0}")]
+    Json(#[from] serde_json::Error),
+    /// An address that is none.
+    #[error("bad address {0:?}")]
+    Address(String),
+    /// A state outside the vocabulary.
+    #[error("unknown state {0:?}")]
+    State(String),
+}
+
+/// An event of the bulletin.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Notice {
+    /// Its number.
+    pub no: u64,
+    /// What changed in the list of streamers.
+    pub roster: Option<Roster>,
+}
+
+/// The list of streamers, or what changed in it.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Roster {
+    #[serde(default)]
+    complete: bool,
+    members: Vec<Member>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+struct Member {
+    id: String,
+    host_port: String,
+    #[serde(default)]
+    locality: String,
+    #[serde(default)]
+    flavor: String,
+    #[serde(default)]
+    cell: u32,
+    phase: String,
+    size: Option<f64>,
+    #[serde(default)]
+    up_since_ms: u64,
+}
+
+/// A line of the bulletin.
+#[derive(Debug)]
+pub enum Line {
+    /// The number of the last event.
+    Last(u64),
+    /// An event.
+    Notice(Notice),
+}
+
+/// The line that asks for all events after one.
+pub fn ask_after(no: u64) -> Vec<u8> {
+    format!("after {no}\n").into_bytes()
+}
+
+/// Reads a line without its line feed.
+pub fn read(line: &[u8]) -> Result<Line, BulletinError> {
+    match std::str::from_utf8(line).ok().and_then(|text| text.trim().parse().ok()) {
+        Some(last) => Ok(Line::Last(last)),
+        None => Ok(Line::Notice(serde_json::from_slice(line)?)),
+    }
+}
+
+impl Roster {
+    /// How the module is to take it: the whole list, or what changed.
+    pub fn scope(&self) -> ListScope {
+        if self.complete { ListScope::Full } else { ListScope::Delta }
+    }
+
+    /// Its entries, in the module's terms, with the streamers' addresses.
+    pub fn entries(&self, names: &mut Vocabulary) -> Result<Vec<(Entry, SocketAddr)>, BulletinError> {
+        let mut entries = Vec::new();
+        for m in &self.members {
+            let standing = match m.phase.as_str() {
+                "in_service" => Standing::Up,
+                "terminating" => Standing::Draining,
+                "terminated" => Standing::Gone,
+                word => return Err(BulletinError::State(word.to_owned())),
+            };
+            let address = m.host_port.parse().map_err(|_| BulletinError::Address(m.host_port.clone()))?;
+            let started_at: Micros = m.up_since_ms.saturating_mul(1000);
+            let (weight, cell) = (m.size, m.cell);
+            let (zone, kind) = (m.locality.as_str(), m.flavor.as_str());
+            let listed = Listed { streamer: &m.id, zone, kind, cell, standing, weight, started_at };
+            entries.push((names.entry(&listed), address));
+        }
+        Ok(entries)
+    }
+}
--- /dev/null
+++ b/src/platform/config.rs
@@ -0,0 +1,105 @@
+//! What a director is told at its start: the JSON file that `LB_CONFIG` names.
+use super::bulletin::Notice;
+use crate::settings::{Info, NameError};
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::path::Path;
+
+/// A configuration that a director can't start with.
+#[derive(Debug, thiserror::Error)]
+pub enum ConfigError {
+    /// `LB_CONFIG` is not set.
+    #[error("LB_CONFIG names no configuration file")]
+    Unnamed,
+    /// The file can't be read.
+    #[error("configuration {path}: {why}")]
+    Unreadable {
+        /// The file.
+        path: String,
+        /// Why not.
+        why: std::io::Error,
+    },
+    /// The file is not JSON of the right form.
+    #[error("configuration {path}: {why}")]
+    Malformed {
+        /// The file.
+        path: String,
+        /// Why not.
+        why: serde_json::Error,
+    },
+    /// A value is of no use.
+    #[error("configuration: {0}")]
+    Value(String),
+    /// The settings in it are of no use.
+    #[error("configuration: {0}")]
+    Settings(#[from] NameError),
+}
+
+/// The limits of one director.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Limits {
+    /// Descriptors that its process may hold.
+    pub sockets: usize,
+}
+
+/// The events of the bulletin up to the start.
+#[derive(Clone, Debug, Default, Deserialize)]
+pub struct Known {
+    /// The last event's number.
+    pub no: u64,
+    /// The events.
+    #[serde(default)]
+    pub items: Vec<Notice>,
+}
+
+/// A director's configuration.
+#[derive(Deserialize)]
+pub struct Config {
+    /// The director's name.
+    pub name: String,
+    /// Where viewers connect.
+    pub listen: SocketAddr,
+    /// The seed of its random numbers, in hex.
+    seed: String,
+    /// Its limits.
+    pub limits: Limits,
+    /// Where the bulletin is.
+    pub bulletin: SocketAddr,
+    /// What the bulletin has told so far.
+    #[serde(default)]
+    pub known: Known,
+    /// The module's settings.
+    pub settings: Info,
+}
+
+/// The fewest descriptors that a director can work with.
+const LEAST_SOCKETS: usize = 32;
+
+impl Config {
+    /// Reads the file that `LB_CONFIG` names.
+    pub fn from_env() -> Result<Self, ConfigError> {
+        let path = std::env::var_os("LB_CONFIG").ok_or(ConfigError::Unnamed)?;
+        Config::from_file(Path::new(&path))
+    }
+
+    /// Reads a file.
+    pub fn from_file(file: &Path) -> Result<Self, ConfigError> {
+        let path = file.display().to_string();
+        let text = std::fs::read(file);
+        let text = text.map_err(|why| ConfigError::Unreadable { path: path.clone(), why })?;
+        let config: Config =
+            serde_json::from_slice(&text).map_err(|why| ConfigError::Malformed { path, why })?;
+        config.seed()?;
+        if config.limits.sockets < LEAST_SOCKETS {
+            let sockets = config.limits.sockets;
+            return Err(ConfigError::Value(format!("{sockets} sockets are too few, {LEAST_SOCKETS} needed")));
+        }
+        Ok(config)
+    }
+
+    /// The seed of the director's random numbers.
+    pub fn seed(&self) -> Result<u64, ConfigError> {
+        let seed = u64::from_str_radix(self.seed.trim_start_matches("0x"), 16);
+        seed.map_err(|_| ConfigError::Value(format!("seed {:?} is not a hex number", self.seed)))
+    }
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,375 @@
+//! The settings that a controller is started with, as JSON, and the names in them as the module's small
+//! numbers. Both front ends, the simulator's wire and the real director, read them here. No decisions.
+use crate::interface::*;
+use serde::Deserialize;
+use std::collections::{BTreeMap, HashMap};
+
+/// What can be wrong with the settings or with a name that should be among them.
+#[derive(Debug, thiserror::Error)]
+pub enum NameError {
+    /// A word outside the vocabulary.
+    #[error("unknown {what} {word:?}")]
+    UnknownWord {
+        /// What the word stands for.
+        what: &'static str,
+        /// The word.
+        word: String,
+    },
+    /// The settings are unusable.
+    #[error("unusable settings: {0}")]
+    Settings(#[from] SettingsError),
+}
+
+impl NameError {
+    pub(crate) fn word(what: &'static str, word: &str) -> Self {
+        NameError::UnknownWord { what, word: word.to_owned() }
+    }
+}
+
+/// The settings as they come.
+#[derive(Deserialize)]
+pub struct Info {
+    me: u32,
+    peers_total: u32,
+    lanes: Vec<Lane>,
+    #[serde(default)]
+    accounts: Vec<Account>,
+    over_share_worth: Option<f64>,
+    family_info: Family,
+    bounds: Bounds,
+    rules: Rules,
+    report: Report,
+    membership_mode: String,
+    my_zone: String,
+    #[serde(default)]
+    kinds: Vec<String>,
+    #[serde(default)]
+    deductions: BTreeMap<String, f64>,
+}
+
+#[derive(Deserialize)]
+struct Lane {
+    name: String,
+    importance: f64,
+    target_us: f64,
+    deadline_us: Option<f64>,
+    effect: String,
+    dedup_scope: Option<String>,
+    repeat_window_us: Option<f64>,
+}
+
+#[derive(Deserialize)]
+struct Account {
+    name: String,
+    quota_per_s: f64,
+}
+
+#[derive(Deserialize)]
+struct Family {
+    cells: u32,
+    racks: u32,
+    class_scale: Vec<f64>,
+    fleet_kb: f64,
+    rack_kb: f64,
+    weight_kb: f64,
+    full_from: Option<f64>,
+    highest_rung: Vec<usize>,
+    lowest_rung: Vec<usize>,
+    #[serde(default)]
+    is_live: Vec<bool>,
+    kind_streams: Vec<u32>,
+    ladder_kb: Vec<f64>,
+    ladder_worth: Vec<f64>,
+    reports_every_us: Option<f64>,
+    #[serde(default)]
+    seats: Vec<usize>,
+    seen_after_us: Option<f64>,
+    shared_adds: Option<f64>,
+    switch_s: f64,
+}
+
+#[derive(Deserialize)]
+struct Bounds {
+    max_attempts: u32,
+    dial_timeout_us: Option<f64>,
+    keepalive_us: Option<f64>,
+    multiplex: Option<f64>,
+    max_retry_after_us: Option<f64>,
+    #[serde(default)]
+    probes: bool,
+    #[serde(default)]
+    retry_after: bool,
+}
+
+#[derive(Deserialize)]
+struct Rules {
+    cold_from: f64,
+    ramp_time_us: f64,
+    fall_multiple: f64,
+    ask_within_us: Option<f64>,
+    free_resends: Option<f64>,
+    extra_per_request: Option<f64>,
+    budget_span_us: Option<f64>,
+}
+
+#[derive(Deserialize)]
+struct Report {
+    how: String,
+}
+
+/// Strings as small numbers, in order of first sight.
+#[derive(Default)]
+pub struct Names {
+    by_name: HashMap<String, u32>,
+    names: Vec<String>,
+}
+
+impl Names {
+    /// The number of a name.
+    pub fn id(&mut self, name: &str) -> u32 {
+        if let Some(&id) = self.by_name.get(name) {
+            return id;
+        }
+        let id = self.names.len() as u32;
+        self.by_name.insert(name.to_owned(), id);
+        self.names.push(name.to_owned());
+        id
+    }
+
+    /// The name of a number.
+    pub fn name(&self, id: u32) -> Option<&str> {
+        self.names.get(id as usize).map(String::as_str)
+    }
+}
+
+pub(crate) fn whole(value: Option<f64>) -> u64 {
+    value.unwrap_or(0.0).max(0.0) as u64
+}
+
+/// A load report from its values by name.
+pub fn load_report(value: impl Fn(&str) -> Option<f64>) -> LoadReport {
+    LoadReport {
+        streams: value("concurrent"),
+        link_capped: value("load_share"),
+        link: value("x0"),
+        uplink: value("x1"),
+    }
+}
+
+fn settings(info: &Info, zones: &mut Names) -> Result<Settings, NameError> {
+    let family = &info.family_info;
+    let top = family.ladder_kb.len().saturating_sub(1);
+    let mut classes = Vec::new();
+    for (i, lane) in info.lanes.iter().enumerate() {
+        let effect = match lane.effect.as_str() {
+            "idempotent" => Effect::Idempotent,
+            "at_most_once" => Effect::AtMostOnce,
+            "deduplicated" => Effect::Deduplicated,
+            word => return Err(NameError::word("effect", word)),
+        };
+        let dedup_scope = match lane.dedup_scope.as_deref() {
+            None | Some("all") => DedupScope::All,
+            Some(word) if word.contains("cell") => DedupScope::Cell,
+            Some(_) => DedupScope::Zone,
+        };
+        classes.push(Class {
+            worth: lane.importance,
+            target_us: whole(Some(lane.target_us)),
+            effect,
+            dedup_scope,
+            repeat_window_us: whole(lane.repeat_window_us),
+            scale: family.class_scale.get(i).copied().unwrap_or(1.0),
+            lowest_rung: family.lowest_rung.get(i).copied().unwrap_or(0),
+            highest_rung: family.highest_rung.get(i).copied().unwrap_or(top),
+            seats: family.seats.get(i).copied().unwrap_or(0),
+            live: family.is_live.get(i).copied().unwrap_or(false),
+        });
+    }
+    let price = |name: &str| info.deductions.get(name).copied().unwrap_or(0.0);
+    let rules = &info.rules;
+    Ok(Settings {
+        me: info.me,
+        controllers: info.peers_total,
+        classes,
+        tenants: info.accounts.iter().map(|a| Tenant { quota_per_s: a.quota_per_s }).collect(),
+        over_share_worth: info.over_share_worth.unwrap_or(1.0),
+        ladder_kb: family.ladder_kb.clone(),
+        ladder_worth: family.ladder_worth.clone(),
+        fleet_kb: family.fleet_kb,
+        rack_kb: family.rack_kb,
+        racks: family.racks,
+        cells: family.cells,
+        weight_kb: family.weight_kb,
+        kinds_streams: family.kind_streams.clone(),
+        full_from: family.full_from.unwrap_or(0.0),
+        shared_adds: family.shared_adds.unwrap_or(1.0),
+        switch_s: family.switch_s,
+        seen_after_us: whole(family.seen_after_us),
+        reports_every_us: whole(family.reports_every_us),
+        reports: match info.report.how.as_str() {
+            "piggyback" => ReportMode::InAnswers,
+            "pull" => ReportMode::ProbeOnly,
+            _ => ReportMode::Silent,
+        },
+        probes: info.bounds.probes,
+        max_attempts: info.bounds.max_attempts,
+        max_hold_off_us: if info.bounds.retry_after { whole(info.bounds.max_retry_after_us) } else { 0 },
+        cold_from: rules.cold_from,
+        warm_up_us: whole(Some(rules.ramp_time_us)),
+        fall_multiple: rules.fall_multiple,
+        discovery_on_request: info.membership_mode == "on_request",
+        ask_within_us: whole(rules.ask_within_us),
+        attempt_budget: rules.budget_span_us.map(|span| AttemptBudget {
+            free: rules.free_resends.unwrap_or(0.0),
+            per_request: rules.extra_per_request.unwrap_or(0.0),
+            span_us: whole(Some(span)),
+        }),
+        my_zone: ZoneId(zones.id(&info.my_zone)),
+        cross_zone_price: price("cross_zone"),
+        probe_price: price("probe"),
+        move_price: price("moves"),
+    })
+}
+
+/// What the settings say of connections to streamers and of the viewers' time; no matter of the decisions.
+#[derive(Clone, Debug)]
+pub struct Carriage {
+    /// A connection that is not up after this counts as never up.
+    pub dial_timeout_us: Micros,
+    /// Idle connections are closed after this.
+    pub idle_us: Micros,
+    /// Set-ups that one connection carries at a time.
+    pub set_ups: usize,
+    /// How long a viewer of each class waits that does not say so.
+    pub deadlines_us: Vec<Micros>,
+}
+
+impl Carriage {
+    fn of(info: &Info) -> Self {
+        let bounds = &info.bounds;
+        let or = |x: Option<f64>, usual: u64| x.map_or(usual, |x| whole(Some(x))).max(1);
+        Carriage {
+            dial_timeout_us: or(bounds.dial_timeout_us, 250_000),
+            idle_us: or(bounds.keepalive_us, 15_000_000),
+            set_ups: or(bounds.multiplex, 32) as usize,
+            deadlines_us: info.lanes.iter().map(|l| or(l.deadline_us, 3_000_000)).collect(),
+        }
+    }
+
+    /// The longest time that a viewer of any class waits.
+    pub fn longest_us(&self) -> Micros {
+        self.deadlines_us.iter().max().copied().unwrap_or(3_000_000)
+    }
+}
+
+/// A request for a session, in the words of a front end.
+#[derive(Default)]
+pub struct Wanted<'a> {
+    /// Its number.
+    pub id: u64,
+    /// Its class.
+    pub class: &'a str,
+    /// Its tenant, if any.
+    pub tenant: Option<&'a str>,
+    /// What is watched.
+    pub title: &'a str,
+    /// Who watches.
+    pub viewer: &'a str,
+    /// First cell that holds the title.
+    pub start_cell: u32,
+    /// Cells in a row that hold it.
+    pub cells_in_row: u32,
+    /// The viewer's best rung.
+    pub max_rung: Option<usize>,
+    /// How long the viewer still waits.
+    pub left_us: Micros,
+    /// The viewer comes again.
+    pub returned: bool,
+}
+
+/// A line of the server list, in the words of a front end.
+pub struct Listed<'a> {
+    /// The streamer.
+    pub streamer: &'a str,
+    /// Its zone.
+    pub zone: &'a str,
+    /// Its kind.
+    pub kind: &'a str,
+    /// Its cell.
+    pub cell: u32,
+    /// What discovery says of it.
+    pub standing: Standing,
+    /// Its weight.
+    pub weight: Option<f64>,
+    /// When it last started; 0 means long ago.
+    pub started_at: Micros,
+}
+
+/// The names that one controller has heard, as the module's small numbers.
+pub struct Vocabulary {
+    /// Streamers, by their ids.
+    pub streamers: Names,
+    titles: Names,
+    zones: Names,
+    classes: Vec<String>,
+    tenants: Vec<String>,
+    kinds: Vec<String>,
+}
+
+impl Vocabulary {
+    /// Reads the settings: the module's, the vocabulary that they begin, and what they say of connections.
+    pub fn read(info: &Info) -> Result<(Settings, Vocabulary, Carriage), NameError> {
+        let mut zones = Names::default();
+        let settings = settings(info, &mut zones)?;
+        settings.check()?;
+        let vocabulary = Vocabulary {
+            streamers: Names::default(),
+            titles: Names::default(),
+            zones,
+            classes: info.lanes.iter().map(|l| l.name.clone()).collect(),
+            tenants: info.accounts.iter().map(|a| a.name.clone()).collect(),
+            kinds: info.kinds.clone(),
+        };
+        Ok((settings, vocabulary, Carriage::of(info)))
+    }
+
+    /// The number of a class.
+    pub fn class(&self, name: &str) -> Result<ClassId, NameError> {
+        let class = self.classes.iter().position(|c| c == name);
+        class.map(ClassId).ok_or_else(|| NameError::word("class", name))
+    }
+
+    /// A request in the module's terms.
+    pub fn request(&mut self, wanted: &Wanted<'_>) -> Result<Request, NameError> {
+        Ok(Request {
+            id: RequestId(wanted.id),
+            class: self.class(wanted.class)?,
+            tenant: wanted.tenant.and_then(|t| self.tenants.iter().position(|n| n == t)).map(TenantId),
+            title: TitleId(self.titles.id(wanted.title)),
+            viewer: viewer_id(wanted.viewer),
+            start_cell: wanted.start_cell,
+            cells_in_row: wanted.cells_in_row,
+            max_rung: wanted.max_rung.unwrap_or(usize::MAX),
+            left_us: wanted.left_us,
+            returned: wanted.returned,
+        })
+    }
+
+    /// A line of the server list in the module's terms.
+    pub fn entry(&mut self, line: &Listed<'_>) -> Entry {
+        Entry {
+            streamer: StreamerId(self.streamers.id(line.streamer)),
+            zone: ZoneId(self.zones.id(line.zone)),
+            kind: self.kinds.iter().position(|k| k == line.kind).map(KindId),
+            cell: line.cell,
+            standing: line.standing,
+            weight: line.weight.unwrap_or(1.0),
+            started_at: Some(line.started_at).filter(|&at| at > 0),
+        }
+    }
+}
+
+/// A viewer's number: a hash (FNV-1a), since viewers come and go without end and a table of them would grow.
+fn viewer_id(name: &str) -> ViewerId {
+    ViewerId(name.bytes().fold(0x811c_9dc5, |h: u32, b| (h ^ u32::from(b)).wrapping_mul(0x0100_0193)))
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -1,9 +1,10 @@
 //! The simulator's JSON on one side, the module's types on the other. Translates; decides nothing.
 use crate::interface::*;
 use crate::rules::Controller;
+use crate::settings::{Info, Listed, NameError, Names, Vocabulary, Wanted, load_report, whole};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 
 /// What can be wrong with a batch.
 #[derive(Debug, thiserror::Error)]
@@ -17,15 +18,10 @@
     /// A list number that no `Pool` has set.
     #[error("list {0} is not known")]
     UnknownList(u64),
-    /// A word outside the wire's vocabulary.
-    #[error("unknown {what} {word:?}")]
-    UnknownWord {
-        /// What the word stands for.
-        what: &'static str,
-        /// The word.
-        word: String,
-    },
-    /// The settings are unusable.
+    /// A word outside the wire's vocabulary, or unusable settings.
+    #[error(transparent)]
+    Name(#[from] NameError),
+    /// Settings that the module refuses.
     #[error("unusable settings: {0}")]
     Settings(#[from] SettingsError),
 }
@@ -130,92 +126,6 @@
     },
 }
 
-#[derive(Deserialize)]
-struct Info {
-    me: u32,
-    peers_total: u32,
-    lanes: Vec<Lane>,
-    #[serde(default)]
-    accounts: Vec<Account>,
-    over_share_worth: Option<f64>,
-    family_info: Family,
-    bounds: Bounds,
-    rules: Rules,
-    report: Report,
-    membership_mode: String,
-    my_zone: String,
-    #[serde(default)]
-    kinds: Vec<String>,
-    #[serde(default)]
-    deductions: BTreeMap<String, f64>,
-}
-
-#[derive(Deserialize)]
-struct Lane {
-    name: String,
-    importance: f64,
-    target_us: f64,
-    effect: String,
-    dedup_scope: Option<String>,
-    repeat_window_us: Option<f64>,
-}
-
-#[derive(Deserialize)]
-struct Account {
-    name: String,
-    quota_per_s: f64,
-}
-
-#[derive(Deserialize)]
-struct Family {
-    cells: u32,
-    racks: u32,
-    class_scale: Vec<f64>,
-    fleet_kb: f64,
-    rack_kb: f64,
-    weight_kb: f64,
-    full_from: Option<f64>,
-    highest_rung: Vec<usize>,
-    lowest_rung: Vec<usize>,
-    #[serde(default)]
-    is_live: Vec<bool>,
-    kind_streams: Vec<u32>,
-    ladder_kb: Vec<f64>,
-    ladder_worth: Vec<f64>,
-    reports_every_us: Option<f64>,
-    #[serde(default)]
-    seats: Vec<usize>,
-    seen_after_us: Option<f64>,
-    shared_adds: Option<f64>,
-    switch_s: f64,
-}
-
-#[derive(Deserialize)]
-struct Bounds {
-    max_attempts: u32,
-    max_retry_after_us: Option<f64>,
-    #[serde(default)]
-    probes: bool,
-    #[serde(default)]
-    retry_after: bool,
-}
-
-#[derive(Deserialize)]
-struct Rules {
-    cold_from: f64,
-    ramp_time_us: f64,
-    fall_multiple: f64,
-    ask_within_us: Option<f64>,
-    free_resends: Option<f64>,
-    extra_per_request: Option<f64>,
-    budget_span_us: Option<f64>,
-}
-
-#[derive(Deserialize)]
-struct Report {
-    how: String,
-}
-
 #[derive(Serialize)]
 #[serde(tag = "t")]
 enum Out<'a> {
@@ -236,34 +146,9 @@
     actions: Vec<Out<'a>>,
 }
 
-/// Strings of the wire as small numbers, in order of first sight.
-#[derive(Default)]
-struct Names {
-    by_name: HashMap<String, u32>,
-    names: Vec<String>,
-}
-
-impl Names {
-    fn id(&mut self, name: &str) -> u32 {
-        if let Some(&id) = self.by_name.get(name) {
-            return id;
-        }
-        let id = self.names.len() as u32;
-        self.by_name.insert(name.to_owned(), id);
-        self.names.push(name.to_owned());
-        id
-    }
-}
-
 struct Instance {
     controller: Controller,
-    streamers: Names,
-    titles: Names,
-    viewers: Names,
-    zones: Names,
-    classes: Vec<String>,
-    tenants: Vec<String>,
-    kinds: Vec<String>,
+    names: Vocabulary,
 }
 
 /// All instances of one process. They share nothing but the numbered lists of the wire.
@@ -273,10 +158,6 @@
     lists: BTreeMap<u64, Vec<Line>>,
 }
 
-fn whole(value: Option<f64>) -> u64 {
-    value.unwrap_or(0.0).max(0.0) as u64
-}
-
 fn outcome(code: String) -> Result<Outcome, WireError> {
     Ok(match code.as_str() {
         "Ok" => Outcome::Ok,
@@ -287,138 +168,50 @@
         "ResetByPeer" => Outcome::Reset,
         "Canceled" => Outcome::Canceled,
         "Ignored" => Outcome::Ignored,
-        _ => return Err(WireError::UnknownWord { what: "outcome", word: code }),
+        _ => return Err(NameError::word("outcome", &code).into()),
     })
 }
 
-fn load(pressure: Option<BTreeMap<String, Value>>) -> LoadReport {
-    let pressure = pressure.unwrap_or_default();
-    let value = |name: &str| pressure.get(name).and_then(Value::as_f64);
-    LoadReport {
-        streams: value("concurrent"),
-        link_capped: value("load_share"),
-        link: value("x0"),
-        uplink: value("x1"),
-    }
-}
-
-fn settings(info: &Info, zones: &mut Names) -> Result<Settings, WireError> {
-    let family = &info.family_info;
-    let top = family.ladder_kb.len().saturating_sub(1);
-    let mut classes = Vec::new();
-    for (i, lane) in info.lanes.iter().enumerate() {
-        let effect = match lane.effect.as_str() {
-            "idempotent" => Effect::Idempotent,
-            "at_most_once" => Effect::AtMostOnce,
-            "deduplicated" => Effect::Deduplicated,
-            word => return Err(WireError::UnknownWord { what: "effect", word: word.to_owned() }),
-        };
-        let dedup_scope = match lane.dedup_scope.as_deref() {
-            None | Some("all") => DedupScope::All,
-            Some(word) if word.contains("cell") => DedupScope::Cell,
-            Some(_) => DedupScope::Zone,
-        };
-        classes.push(Class {
-            worth: lane.importance,
-            target_us: whole(Some(lane.target_us)),
-            effect,
-            dedup_scope,
-            repeat_window_us: whole(lane.repeat_window_us),
-            scale: family.class_scale.get(i).copied().unwrap_or(1.0),
-            lowest_rung: family.lowest_rung.get(i).copied().unwrap_or(0),
-            highest_rung: family.highest_rung.get(i).copied().unwrap_or(top),
-            seats: family.seats.get(i).copied().unwrap_or(0),
-            live: family.is_live.get(i).copied().unwrap_or(false),
-        });
-    }
-    let price = |name: &str| info.deductions.get(name).copied().unwrap_or(0.0);
-    let rules = &info.rules;
-    Ok(Settings {
-        me: info.me,
-        controllers: info.peers_total,
-        classes,
-        tenants: info.accounts.iter().map(|a| Tenant { quota_per_s: a.quota_per_s }).collect(),
-        over_share_worth: info.over_share_worth.unwrap_or(1.0),
-        ladder_kb: family.ladder_kb.clone(),
-        ladder_worth: family.ladder_worth.clone(),
-        fleet_kb: family.fleet_kb,
-        rack_kb: family.rack_kb,
-        racks: family.racks,
-        cells: family.cells,
-        weight_kb: family.weight_kb,
-        kinds_streams: family.kind_streams.clone(),
-        full_from: family.full_from.unwrap_or(0.0),
-        shared_adds: family.shared_adds.unwrap_or(1.0),
-        switch_s: family.switch_s,
-        seen_after_us: whole(family.seen_after_us),
-        reports_every_us: whole(family.reports_every_us),
-        reports: match info.report.how.as_str() {
-            "piggyback" => ReportMode::InAnswers,
-            "pull" => ReportMode::ProbeOnly,
-            _ => ReportMode::Silent,
-        },
-        probes: info.bounds.probes,
-        max_attempts: info.bounds.max_attempts,
-        max_hold_off_us: if info.bounds.retry_after { whole(info.bounds.max_retry_after_us) } else { 0 },
-        cold_from: rules.cold_from,
-        warm_up_us: whole(Some(rules.ramp_time_us)),
-        fall_multiple: rules.fall_multiple,
-        discovery_on_request: info.membership_mode == "on_request",
-        ask_within_us: whole(rules.ask_within_us),
-        attempt_budget: rules.budget_span_us.map(|span| AttemptBudget {
-            free: rules.free_resends.unwrap_or(0.0),
-            per_request: rules.extra_per_request.unwrap_or(0.0),
-            span_us: whole(Some(span)),
-        }),
-        my_zone: ZoneId(zones.id(&info.my_zone)),
-        cross_zone_price: price("cross_zone"),
-        probe_price: price("probe"),
-        move_price: price("moves"),
-    })
+fn pressure(values: Option<BTreeMap<String, Value>>) -> LoadReport {
+    load_report(|name| values.as_ref()?.get(name).and_then(Value::as_f64))
 }
 
 impl Instance {
-    fn request(&mut self, ask: &Ask) -> Result<Request, WireError> {
-        let class = self
-            .classes
-            .iter()
-            .position(|c| *c == ask.band)
-            .ok_or_else(|| WireError::UnknownWord { what: "class", word: ask.band.clone() })?;
-        let tenant = ask.billing.as_ref().and_then(Value::as_str);
-        Ok(Request {
-            id: RequestId(ask.request_id),
-            class: ClassId(class),
-            tenant: tenant.and_then(|t| self.tenants.iter().position(|n| n == t)).map(TenantId),
-            title: TitleId(self.titles.id(ask.item.as_deref().unwrap_or(""))),
-            viewer: ViewerId(self.viewers.id(ask.name_key.as_deref().unwrap_or(""))),
+    fn request(&mut self, ask: &Ask) -> Result<Request, NameError> {
+        self.names.request(&Wanted {
+            id: ask.request_id,
+            class: &ask.band,
+            tenant: ask.billing.as_ref().and_then(Value::as_str),
+            title: ask.item.as_deref().unwrap_or(""),
+            viewer: ask.name_key.as_deref().unwrap_or(""),
             start_cell: whole(ask.start_cell) as u32,
             cells_in_row: whole(ask.cells_in_row) as u32,
-            max_rung: ask.max_rung.map_or(usize::MAX, |r| r.max(0.0) as usize),
+            max_rung: ask.max_rung.map(|r| r.max(0.0) as usize),
             left_us: whole(ask.left_us),
             returned: ask.returned.unwrap_or(false) || ask.again_by_client.unwrap_or(false),
         })
     }
 
-    fn entry(&mut self, line: &Line) -> Result<Entry, WireError> {
+    fn entry(&mut self, line: &Line) -> Result<Entry, NameError> {
         let standing = match line.stage_state.as_str() {
             "U" => Standing::Up,
             "L" => Standing::Draining,
             "D" => Standing::Gone,
-            word => return Err(WireError::UnknownWord { what: "standing", word: word.to_owned() }),
+            word => return Err(NameError::word("standing", word)),
         };
-        Ok(Entry {
-            streamer: StreamerId(self.streamers.id(&line.streamer)),
-            zone: ZoneId(self.zones.id(&line.az)),
-            kind: self.kinds.iter().position(|k| *k == line.model).map(KindId),
+        Ok(self.names.entry(&Listed {
+            streamer: &line.streamer,
+            zone: &line.az,
+            kind: &line.model,
             cell: whole(Some(line.cell)) as u32,
             standing,
-            weight: line.scale.unwrap_or(1.0),
-            started_at: Some(whole(line.started_at_us)).filter(|&at| at > 0),
-        })
+            weight: line.scale,
+            started_at: whole(line.started_at_us),
+        }))
     }
 
     fn say<'a>(streamers: &'a Names, me: u64, action: &'a Action) -> Out<'a> {
-        let name = |s: &StreamerId| streamers.names[s.0 as usize].as_str();
+        let name = |s: &StreamerId| streamers.name(s.0).unwrap_or("");
         match action {
             Action::Send { request, streamer, try_for_us } => Out::Send {
                 controller_id: me,
@@ -463,7 +256,9 @@
         let mut reply = Reply { actions: Vec::new() };
         for (me, actions) in &done {
             if let Some(instance) = self.instances.get(me) {
-                reply.actions.extend(actions.iter().map(|a| Instance::say(&instance.streamers, *me, a)));
+                reply
+                    .actions
+                    .extend(actions.iter().map(|a| Instance::say(&instance.names.streamers, *me, a)));
             }
         }
         Ok(serde_json::to_string(&reply)?)
@@ -486,18 +281,8 @@
         };
         match event {
             In::Configure { nonce64, info, .. } => {
-                let mut zones = Names::default();
-                let controller = Controller::new(settings(&info, &mut zones)?, nonce64, now)?;
-                let instance = Instance {
-                    controller,
-                    streamers: Names::default(),
-                    titles: Names::default(),
-                    viewers: Names::default(),
-                    zones,
-                    classes: info.lanes.iter().map(|l| l.name.clone()).collect(),
-                    tenants: info.accounts.iter().map(|a| a.name.clone()).collect(),
-                    kinds: info.kinds.clone(),
-                };
+                let (settings, names, _) = Vocabulary::read(&info)?;
+                let instance = Instance { controller: Controller::new(settings, nonce64, now)?, names };
                 self.instances.insert(me, instance);
                 return Ok(None);
             }
@@ -519,7 +304,7 @@
                     "full" => ListScope::Full,
                     "cached" => ListScope::Cached,
                     "failed" => ListScope::Failed,
-                    _ => return Err(WireError::UnknownWord { what: "scope", word: scope }),
+                    _ => return Err(NameError::word("scope", &scope).into()),
                 };
                 let mut entries = Vec::new();
                 if scope != ListScope::Failed {
@@ -533,17 +318,17 @@
             }
             In::Inbound(ask) => Event::Inbound(instance.request(&ask)?),
             In::Preexisting(ask) => {
-                let streamer = instance.streamers.id(ask.streamer.as_deref().unwrap_or(""));
+                let streamer = instance.names.streamers.id(ask.streamer.as_deref().unwrap_or(""));
                 Event::Preexisting(instance.request(&ask)?, StreamerId(streamer))
             }
             In::Started { request_id, streamer, latency_us, .. } => Event::Started {
                 request: RequestId(request_id),
-                streamer: StreamerId(instance.streamers.id(&streamer)),
+                streamer: StreamerId(instance.names.streamers.id(&streamer)),
                 latency_us,
             },
             In::UpdateOf { request_id, streamer, sort, amount, .. } => Event::Note {
                 request: RequestId(request_id),
-                streamer: StreamerId(instance.streamers.id(&streamer)),
+                streamer: StreamerId(instance.names.streamers.id(&streamer)),
                 kind: match sort {
                     1 => NoteKind::Delivered,
                     2 => NoteKind::Rung,
@@ -553,19 +338,19 @@
                 },
                 value: amount,
             },
-            In::Result { request_id, go, streamer, code, last, pressure, .. } => Event::Ended {
+            In::Result { request_id, go, streamer, code, last, pressure: load, .. } => Event::Ended {
                 request: RequestId(request_id),
                 attempt: go,
-                streamer: StreamerId(instance.streamers.id(&streamer)),
+                streamer: StreamerId(instance.names.streamers.id(&streamer)),
                 outcome: outcome(code)?,
                 last,
-                report: load(pressure),
+                report: pressure(load),
             },
             In::ClientGone { request_id, .. } => Event::ClientGone(RequestId(request_id)),
-            In::PingResult { streamer, code, pressure, .. } => Event::Probed {
-                streamer: StreamerId(instance.streamers.id(&streamer)),
+            In::PingResult { streamer, code, pressure: load, .. } => Event::Probed {
+                streamer: StreamerId(instance.names.streamers.id(&streamer)),
                 outcome: outcome(code)?,
-                report: load(pressure),
+                report: pressure(load),
             },
             In::Reminder { tag, .. } => match tag.parse() {
                 Ok(tag) => Event::Timer(TimerTag(tag)),
