--- a/src/director/ledger.rs
+++ b/src/director/ledger.rs
@@ -114,8 +114,12 @@
                 out.counters.broken += 1;
                 self.own_attempt_over(attempt, Some(Outcome::Reset), out);
             }
-            Input::Released { streamer, session, number, why, report } => {
-                self.released(streamer, session, number, why, report, out);
+            Input::Released { streamer, session, number, why, description, report } => {
+                if why == Over::Ended && !description.is_empty() {
+                    self.began_and_ended(session, number, streamer, description, report, out);
+                } else {
+                    self.released(streamer, session, number, why, report, out);
+                }
             }
             Input::Lost(streamer) => self.lost(streamer, Micros::MAX, out),
             Input::Noted { streamer, session, kind, value } => {
@@ -396,6 +400,30 @@
         out.events.push(ended(id, number, streamer, outcome, last));
     }
 
+    /// A streamer set a session up whose viewer wants nothing more of it: answer and end come as one.
+    fn began_and_ended(
+        &mut self,
+        id: RequestId,
+        number: Option<u32>,
+        from: StreamerId,
+        description: Description,
+        report: LoadReport,
+        out: &mut Outbox,
+    ) {
+        match self.sessions.get(&id) {
+            Some(Session { link, stage: Stage::Out { streamer, number: n, .. }, .. })
+                if *streamer == from && number == Some(*n) =>
+            {
+                out.counters.served += 1;
+                out.counters.ended += 1;
+                out.deeds.push(Deed::Answer(*link, id, description));
+                out.deeds.push(Deed::Release(*link, id, Over::Ended));
+                self.over(id, from, Outcome::Ok, report, out);
+            }
+            _ => self.released(from, id, number, Over::Ended, report, out),
+        }
+    }
+
     fn released(
         &mut self,
         from: StreamerId,
--- a/src/director/messages.rs
+++ b/src/director/messages.rs
@@ -133,6 +133,8 @@
         number: Option<u32>,
         /// Why.
         why: Over,
+        /// What the viewer is to be told of a session that ended as it began; else empty.
+        description: Description,
         /// The load report that came along.
         report: LoadReport,
     },
--- a/src/net/streamers.rs
+++ b/src/net/streamers.rs
@@ -515,14 +515,14 @@
                 let number = self.answered(session);
                 Input::TurnedAway { streamer, session, number, outcome, report }
             }
-            FromStreamer::Released(session, cause, report) => {
+            FromStreamer::Released(session, cause, description, report) => {
                 let why = match cause {
                     Some(16) => Over::Ended,
                     Some(31) => Over::Left,
                     _ => Over::Cut,
                 };
                 let number = self.open.remove(&session).map(|o| o.0);
-                Input::Released { streamer, session, number, why, report }
+                Input::Released { streamer, session, number, why, description, report }
             }
             FromStreamer::Tested(id, passed, report) => {
                 if !self.tests.remove(&id) {
--- a/src/platform/rtsp.rs
+++ b/src/platform/rtsp.rs
@@ -40,8 +40,9 @@
     Stands(RequestId, Vec<u8>),
     /// The set-up was turned away.
     TurnedAway(RequestId, Outcome, LoadReport),
-    /// A session is released, with a cause; without one where none was given.
-    Released(RequestId, Option<u8>, LoadReport),
+    /// A session is released, with a cause; without one where none was given. One that ended as it began
+    /// brings its description along.
+    Released(RequestId, Option<u8>, Vec<u8>, LoadReport),
     /// A test's result.
     Tested(RequestId, bool, LoadReport),
     /// A note on a session; `None` for one of a kind that is not known.
@@ -126,7 +127,8 @@
         First::Request("TEARDOWN") => {
             let reason =
                 field("Reason").and_then(|r| r.split(';').find_map(|p| p.trim().strip_prefix("cause=")));
-            Ok(FromStreamer::Released(session()?, reason.and_then(|c| c.trim().parse().ok()), report()))
+            let cause = reason.and_then(|c| c.trim().parse().ok());
+            Ok(FromStreamer::Released(session()?, cause, body.to_vec(), report()))
         }
         First::Request("ANNOUNCE") => {
             let kind = match field("Warning-Word").ok_or(RtspError::Field("Warning-Word"))? {
