Withdraw set-ups from draining streamers, keep releases for lost ones, test codecs and sockets

At fault: Streamers::watch, which took kept releases for sessions and cleared them. Also found by reading: Bulletin::ready kept the dial's 0.5 s as the time for the first line; a set-up waiting behind unwritten bytes could outlive its streamer's standing; a lack of own descriptors counted against a streamer.

--- a/src/main.rs
+++ b/src/main.rs
@@ -1,4 +1,5 @@
 //! A real director on sockets: reads its configuration, starts the log, and serves until it is asked to end.
+use std::io::{self, Write};
 use std::process::ExitCode;
 use stonewharf::net::{Node, NodeError, logging};
 use stonewharf::platform::config::Config;
@@ -14,7 +15,7 @@
     match served {
         Ok(()) => ExitCode::SUCCESS,
         Err(why) => {
-            eprintln!("stonewharf: {why}");
+            let _ = writeln!(io::stderr(), "stonewharf: {why}"); // it may be closed
             ExitCode::FAILURE
         }
     }
--- a/src/net/bulletin.rs
+++ b/src/net/bulletin.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddr;
 
 /// The bulletin writes every second; silent for this long it is taken for broken.
-const SILENT_US: Micros = 2_500_000;
+const SILENT_US: Micros = 1_800_000;
 /// A connection must be up by then.
 const DIAL_US: Micros = 500_000;
 const BACK_OFF_US: Micros = 50_000;
@@ -80,7 +80,9 @@
             }
             self.up = true;
             line.put(&bulletin::ask_after(self.last));
+            self.expect(shared, SILENT_US);
         }
+        let Some(line) = self.line.as_mut() else { return Vec::new() };
         if writable && let Err(why) = line.write() {
             self.broke(shared, &why.to_string());
             return Vec::new();
--- a/src/net/line.rs
+++ b/src/net/line.rs
@@ -110,6 +110,15 @@
         self.outbox.extend_from_slice(bytes);
     }
 
+    /// Takes back what was added last, if not a byte of it has been written.
+    pub fn take_back(&mut self) -> bool {
+        let whole = !self.outbox.is_empty() && self.written == 0;
+        if whole {
+            self.outbox.clear();
+        }
+        whole
+    }
+
     /// Bytes that are still to be written.
     pub fn unwritten(&self) -> usize {
         self.outbox.len() - self.written
--- a/src/net/streamers.rs
+++ b/src/net/streamers.rs
@@ -21,13 +21,16 @@
 /// can't be reached then proves it.
 const HEARD_US: Micros = 1_000_000;
 /// A streamer with sessions that has been silent for so long is checked by a new connection.
-const SILENT_US: Micros = 3_000_000;
+const SILENT_US: Micros = 2_000_000;
 /// Its sessions are lost when no connection has come up for so long.
-const LOST_US: Micros = 2_500_000;
+const LOST_US: Micros = 1_500_000;
 /// The same where connections are refused: its process does not run.
 const REFUSED_US: Micros = 500_000;
 /// Between attempts to connect to a streamer on behalf of its sessions.
 const REDIAL_US: Micros = 250_000;
+/// The same on behalf of releases alone, and how long those are kept.
+const REDIAL_WORDS_US: Micros = 2_000_000;
+const WORDS_KEPT_US: Micros = 60_000_000;
 /// Messages that wait on one connection, and words kept for a streamer without one, at most.
 const QUEUE_MOST: usize = 4096;
 /// Given-up set-ups after which a connection takes no new ones.
@@ -39,14 +42,20 @@
     Word(Vec<u8>),
 }
 
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Writing {
+    SetUp(Attempt),
+    GiveUp(Attempt),
+}
+
 /// One connection to a streamer.
 struct Link {
     streamer: StreamerId,
     line: Line,
     up: bool,
     queue: VecDeque<Saying>,
-    /// The give-up being written, if it is one.
-    giving_up: Option<Attempt>,
+    /// What is being written, where that matters.
+    writing: Option<Writing>,
     /// Open set-ups: number of the attempt, and whether a byte of it has left.
     open: BTreeMap<RequestId, (u32, bool)>,
     given_up: BTreeSet<RequestId>,
@@ -62,7 +71,7 @@
     standing: Standing,
     links: BTreeSet<Token>,
     /// Releases and rungs that wait for a connection.
-    unsaid: VecDeque<Vec<u8>>,
+    unsaid: VecDeque<(Micros, Vec<u8>)>,
     heard_at: Micros,
     failing_since: Option<Micros>,
     refused: bool,
@@ -112,6 +121,8 @@
             pool.standing = entry.standing;
             if pool.address.replace(*address).is_some_and(|was| was != *address) {
                 self.close_links(shared, entry.streamer);
+            } else if entry.standing != Standing::Up {
+                self.withdraw(shared, entry.streamer);
             }
         }
     }
@@ -124,6 +135,31 @@
         }
     }
 
+    /// Takes back what waits to be set up at a streamer that drains.
+    fn withdraw(&mut self, shared: &mut Shared, streamer: StreamerId) {
+        let links = self.pools.get(&streamer).map(|p| p.links.clone()).unwrap_or_default();
+        for token in links {
+            let Some(link) = self.links.get_mut(&token) else { continue };
+            let mut back = Vec::new();
+            if let Some(Writing::SetUp(attempt)) = link.writing
+                && link.take_back(attempt)
+            {
+                back.push(attempt);
+            }
+            link.queue.retain(|saying| match saying {
+                Saying::SetUp { attempt, .. } => {
+                    back.push(*attempt);
+                    false
+                }
+                _ => true,
+            });
+            for attempt in back {
+                link.open.remove(&attempt.session);
+                shared.inputs.push(Input::Unsent(attempt, Unsent::Withdrawn));
+            }
+        }
+    }
+
     fn close_links(&mut self, shared: &mut Shared, streamer: StreamerId) {
         let links = self.pools.get(&streamer).map(|p| p.links.clone()).unwrap_or_default();
         links.into_iter().for_each(|token| self.down(shared, token));
@@ -140,13 +176,9 @@
         parcel: Rc<Parcel>,
     ) {
         let session = attempt.session;
-        let Some(token) = self.link_for(shared, streamer, Some(session)) else {
-            let why = match self.pools.get(&streamer).and_then(|p| p.address) {
-                Some(_) => Unsent::NoConnection,
-                None => Unsent::Withdrawn,
-            };
-            shared.inputs.push(Input::Unsent(attempt, why));
-            return;
+        let token = match self.link_for(shared, streamer, Some(session)) {
+            Ok(token) => token,
+            Err(why) => return shared.inputs.push(Input::Unsent(attempt, why)),
         };
         if let Some(link) = self.links.get_mut(&token) {
             link.used_at = shared.now;
@@ -170,7 +202,7 @@
         };
         let Some(link) = self.links.get_mut(&token) else { return };
         let left = link.open.remove(&session).is_some_and(|o| o.1);
-        if left {
+        if left && !link.take_back(attempt) {
             link.given_up.insert(session);
             link.queue.push_back(Saying::GiveUp(attempt));
             shared.wake(GIVE_UP_US, Due::GiveUp(token, attempt));
@@ -185,7 +217,7 @@
     pub fn give_up_due(&mut self, shared: &mut Shared, token: Token, attempt: Attempt) {
         let Some(link) = self.links.get(&token) else { return };
         let waits = |s: &Saying| matches!(s, Saying::GiveUp(a) if *a == attempt);
-        if link.giving_up == Some(attempt) || link.queue.iter().any(waits) {
+        if link.writing == Some(Writing::GiveUp(attempt)) || link.queue.iter().any(waits) {
             shared.counters.overfull += 1;
             info!(shared.log, "a give-up can't be written, connection closed"; "streamer" => link.streamer.0);
             self.down(shared, token);
@@ -202,7 +234,7 @@
             }
             None => {
                 if let Some(pool) = self.pools.get_mut(&streamer).filter(|p| p.unsaid.len() < QUEUE_MOST) {
-                    pool.unsaid.push_back(bytes);
+                    pool.unsaid.push_back((shared.now, bytes));
                 }
                 self.attend(shared, streamer);
             }
@@ -211,10 +243,14 @@
 
     /// Asks a streamer for its load.
     pub fn probe(&mut self, shared: &mut Shared, streamer: StreamerId) {
-        let Some(token) = self.link_for(shared, streamer, None) else {
-            let report = LoadReport::default();
-            shared.inputs.push(Input::Probed { streamer, outcome: Outcome::ConnectError, report });
-            return;
+        let token = match self.link_for(shared, streamer, None) {
+            Ok(token) => token,
+            Err(why) => {
+                let outcome =
+                    if why == Unsent::NoConnection { Outcome::ConnectError } else { Outcome::Ignored };
+                let report = LoadReport::default();
+                return shared.inputs.push(Input::Probed { streamer, outcome, report });
+            }
         };
         self.last_test += 1;
         let id = RequestId(self.last_test);
@@ -241,7 +277,7 @@
     pub fn attend(&mut self, shared: &mut Shared, streamer: StreamerId) {
         let Some(pool) = self.pools.get(&streamer) else { return };
         if pool.links.is_empty() && pool.dial_at <= shared.now {
-            self.dial(shared, streamer);
+            let _ = self.dial(shared, streamer); // the watch tries again
         }
     }
 
@@ -251,8 +287,8 @@
         shared: &mut Shared,
         streamer: StreamerId,
         session: Option<RequestId>,
-    ) -> Option<Token> {
-        let pool = self.pools.get(&streamer)?;
+    ) -> Result<Token, Unsent> {
+        let pool = self.pools.get(&streamer).ok_or(Unsent::Withdrawn)?;
         let fits = |l: &&Link| {
             let lately = l.used_at.saturating_add(self.carriage.idle_us / 5 * 3) > shared.now;
             let heard = l.heard_at.saturating_add(HEARD_US) > shared.now;
@@ -264,7 +300,7 @@
         };
         let links = pool.links.iter().filter_map(|t| self.links.get(t)).filter(fits);
         match links.max_by_key(|l| (l.up, l.heard_at)).map(|l| l.line.token()) {
-            Some(token) => Some(token),
+            Some(token) => Ok(token),
             None => self.dial(shared, streamer),
         }
     }
@@ -275,20 +311,26 @@
         up.filter(|l| l.queue.len() < QUEUE_MOST).max_by_key(|l| l.heard_at).map(|l| l.line.token())
     }
 
-    fn dial(&mut self, shared: &mut Shared, streamer: StreamerId) -> Option<Token> {
+    /// Begins a new connection. What only this machine lacks for it says nothing of the streamer.
+    fn dial(&mut self, shared: &mut Shared, streamer: StreamerId) -> Result<Token, Unsent> {
         if self.links.len() >= self.most {
             let unused = |l: &&Link| l.up && l.open.is_empty() && l.tests.is_empty() && l.queue.is_empty();
-            let oldest =
-                self.links.values().filter(unused).min_by_key(|l| l.used_at).map(|l| l.line.token())?;
+            let oldest = self.links.values().filter(unused).min_by_key(|l| l.used_at);
+            let oldest = oldest.map(|l| l.line.token()).ok_or(Unsent::Withdrawn)?;
             self.down(shared, oldest);
         }
-        let pool = self.pools.get_mut(&streamer)?;
-        let line = match Line::dial(&mut shared.poll, pool.address?) {
+        let pool = self.pools.get_mut(&streamer).ok_or(Unsent::Withdrawn)?;
+        pool.dial_at = shared.now.saturating_add(REDIAL_US);
+        let line = match Line::dial(&mut shared.poll, pool.address.ok_or(Unsent::Withdrawn)?) {
             Ok(line) => line,
-            Err(why) => {
-                pool.dial_at = shared.now.saturating_add(REDIAL_US);
+            Err(why) if why.kind() == io::ErrorKind::ConnectionRefused => {
                 self.dial_failed(shared, streamer, shared.now, &why);
-                return None;
+                return Err(Unsent::NoConnection);
+            }
+            Err(why) => {
+                shared.counters.descriptors_out += 1;
+                warn!(shared.log, "no connection can be begun: {why}"; "streamer" => streamer.0);
+                return Err(Unsent::Withdrawn);
             }
         };
         let token = line.token();
@@ -298,7 +340,7 @@
             line,
             up: false,
             queue: VecDeque::new(),
-            giving_up: None,
+            writing: None,
             open: BTreeMap::new(),
             given_up: BTreeSet::new(),
             tests: BTreeSet::new(),
@@ -308,7 +350,7 @@
         self.links.insert(token, link);
         shared.counters.streamer_connections += 1;
         shared.wake(self.carriage.dial_timeout_us, Due::Dial(token));
-        Some(token)
+        Ok(token)
     }
 
     fn dial_failed(&mut self, shared: &mut Shared, streamer: StreamerId, since: Micros, why: &io::Error) {
@@ -353,7 +395,7 @@
             link.heard_at = shared.now;
             if let Some(pool) = self.pools.get_mut(&streamer) {
                 (pool.heard_at, pool.failing_since) = (shared.now, None);
-                let words = pool.unsaid.drain(..).map(Saying::Word);
+                let words = pool.unsaid.drain(..).map(|kept| Saying::Word(kept.1));
                 words.for_each(|word| link.queue.push_back(word));
             }
             self.pump(shared, token);
@@ -407,7 +449,7 @@
                     return self.down(shared, token);
                 }
             }
-            if let Some(attempt) = link.giving_up.take() {
+            if let Some(Writing::GiveUp(attempt)) = link.writing.take() {
                 shared.inputs.push(Input::GaveUp(attempt));
             }
             match link.queue.pop_front() {
@@ -415,7 +457,7 @@
                 Some(Saying::Word(bytes)) => link.line.put(&bytes),
                 Some(Saying::GiveUp(attempt)) => {
                     link.line.put(&rtsp::give_up(attempt.session));
-                    link.giving_up = Some(attempt);
+                    link.writing = Some(Writing::GiveUp(attempt));
                 }
                 Some(Saying::SetUp { attempt, rung, until, parcel }) => {
                     let wait_ms = until.saturating_sub(shared.now) / 1000;
@@ -424,6 +466,7 @@
                     match bytes.filter(|_| up && wait_ms > 0) {
                         Some(bytes) => {
                             link.line.put(&bytes);
+                            link.writing = Some(Writing::SetUp(attempt));
                             link.open.insert(attempt.session, (attempt.number, true));
                         }
                         None => {
@@ -449,13 +492,17 @@
         for _ in &link.tests {
             shared.inputs.push(Input::Probed { streamer, outcome, report: LoadReport::default() });
         }
-        shared.inputs.extend(link.giving_up.map(Input::GaveUp));
+        if let Some(Writing::GiveUp(attempt)) = link.writing {
+            shared.inputs.push(Input::GaveUp(attempt));
+        }
         let Some(pool) = self.pools.get_mut(&streamer) else { return };
         pool.links.remove(&token);
         for saying in link.queue {
             match saying {
                 Saying::GiveUp(attempt) => shared.inputs.push(Input::GaveUp(attempt)),
-                Saying::Word(bytes) if pool.unsaid.len() < QUEUE_MOST => pool.unsaid.push_back(bytes),
+                Saying::Word(bytes) if pool.unsaid.len() < QUEUE_MOST => {
+                    pool.unsaid.push_back((shared.now, bytes));
+                }
                 Saying::Word(_) | Saying::SetUp { .. } => {}
             }
         }
@@ -477,32 +524,42 @@
         idle.into_iter().for_each(|token| self.down(shared, token));
         let ids: Vec<StreamerId> = self.pools.keys().copied().collect();
         for streamer in ids {
-            let Some(pool) = self.pools.get(&streamer) else { continue };
-            let wanted = standing_at(streamer) > 0 || !pool.unsaid.is_empty();
-            if !wanted || pool.address.is_none() {
-                continue;
+            let Some(pool) = self.pools.get_mut(&streamer) else { continue };
+            while pool.unsaid.front().is_some_and(|kept| kept.0.saturating_add(WORDS_KEPT_US) <= now) {
+                pool.unsaid.pop_front();
             }
+            let sessions = standing_at(streamer) > 0;
             let links = || pool.links.iter().filter_map(|t| self.links.get(t));
             let dialing = links().any(|l| !l.up);
-            let silent = pool.heard_at.saturating_add(SILENT_US) <= now;
-            let failing = pool.failing_since.filter(|since| pool.heard_at <= *since);
+            let silent = sessions && pool.heard_at.saturating_add(SILENT_US) <= now;
+            let failing = pool.failing_since.filter(|since| sessions && pool.heard_at <= *since);
             let patience = if pool.refused { REFUSED_US } else { LOST_US };
             if failing.is_some_and(|since| since.saturating_add(patience) <= now) {
                 warn!(shared.log, "lost, its sessions are released"; "streamer" => streamer.0);
+                pool.failing_since = None;
                 self.close_links(shared, streamer);
                 shared.inputs.push(Input::Lost(streamer));
-                if let Some(pool) = self.pools.get_mut(&streamer) {
-                    (pool.heard_at, pool.failing_since) = (now, None);
-                    pool.unsaid.clear();
-                }
-            } else if !dialing && (pool.links.is_empty() || silent) && pool.dial_at <= now {
-                self.dial(shared, streamer);
+                continue;
+            }
+            let words = !pool.unsaid.is_empty() && pool.dial_at.saturating_add(REDIAL_WORDS_US) <= now;
+            let unattended = pool.links.is_empty() && (sessions || words);
+            if !dialing && (unattended || silent) && pool.dial_at <= now {
+                let _ = self.dial(shared, streamer); // the next watch tries again
             }
         }
     }
 }
 
 impl Link {
+    /// Takes a set-up back that is being written, if not a byte of it has left.
+    fn take_back(&mut self, attempt: Attempt) -> bool {
+        let back = self.writing == Some(Writing::SetUp(attempt)) && self.line.take_back();
+        if back {
+            self.writing = None;
+        }
+        back
+    }
+
     /// Turns a streamer's message into what the core hears.
     fn hear(&mut self, shared: &mut Shared, message: FromStreamer) {
         let streamer = self.streamer;
--- a/src/platform/rtsp.rs
+++ b/src/platform/rtsp.rs
@@ -58,6 +58,9 @@
 
 /// Reads one message; `None` where it is not whole yet. Also tells how many bytes it took.
 pub fn read(bytes: &[u8]) -> Result<Option<(FromStreamer, usize)>, RtspError> {
+    // Empty lines before a message mean nothing.
+    let empty = bytes.iter().take_while(|b| matches!(b, b'\r' | b'\n')).count();
+    let bytes = bytes.get(empty..).unwrap_or_default();
     let seen = &bytes[..bytes.len().min(MESSAGE_MAX)];
     let unfinished = if bytes.len() >= MESSAGE_MAX { Err(RtspError::TooLong) } else { Ok(None) };
     let Some(line_end) = seen.iter().position(|b| *b == b'\n') else { return unfinished };
@@ -78,7 +81,7 @@
     let start = line_end + 1 + headers_len;
     let end = start.checked_add(length).filter(|end| *end <= MESSAGE_MAX).ok_or(RtspError::TooLong)?;
     let Some(body) = bytes.get(start..end) else { return Ok(None) };
-    Ok(Some((message(&first, field, body)?, end)))
+    Ok(Some((message(&first, field, body)?, empty + end)))
 }
 
 fn first_line(line: &[u8]) -> Result<First<'_>, RtspError> {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -144,3 +144,21 @@
 pub fn failed(actions: &[Action]) -> bool {
     actions.iter().any(|a| matches!(a, Action::EndFailed(_)))
 }
+
+/// Settings as they come from outside.
+pub const SETTINGS: &str = r#"{"accounts": [], "me": 0, "peers_total": 1, "membership_mode": "pushed", "my_zone": "hall-a",
+"kinds": ["two-core"], "over_share_worth": 0.1, "deductions": {}, "report": {"how": "pull", "names": ["load_share"]},
+"bounds": {"dial_timeout_us": 250000, "keepalive_us": 15000000, "max_attempts": 4, "max_retry_after_us": 1000000,
+  "multiplex": 32, "probes": false, "retry_after": true},
+"family_info": {"cells": 1, "racks": 1, "class_scale": [1.0, 1.0], "fleet_kb": 10000.0, "rack_kb": 10000.0,
+  "weight_kb": 2500.0, "full_from": 1.2, "highest_rung": [1, 1], "lowest_rung": [1, 0], "kind_streams": [24],
+  "ladder_kb": [100.0, 200.0], "ladder_worth": [0.5, 1.0], "switch_s": 0.5},
+"lanes": [{"name": "replay", "importance": 2.0, "target_us": 300000, "deadline_us": 600000, "effect": "at_most_once"},
+  {"name": "seat-view", "importance": 1.0, "target_us": 300000, "deadline_us": 600000, "effect": "idempotent"}],
+"rules": {"cold_from": 0.4, "ramp_time_us": 1000, "fall_multiple": 3.0}}"#;
+
+/// The vocabulary that those settings begin.
+pub fn names() -> settings::Vocabulary {
+    let info = serde_json::from_str(SETTINGS).expect("JSON");
+    settings::Vocabulary::read(&info).expect("settings").1
+}
--- /dev/null
+++ b/tests/node.rs
@@ -0,0 +1,309 @@
+//! The director on real sockets of the loopback: viewers, a streamer and the bulletin are played by hand.
+//! Every wait here ends at something that happens; the time limits are only for what never does.
+mod common;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+const LONG: Duration = Duration::from_secs(30);
+static NEXT: AtomicU64 = AtomicU64::new(1);
+
+/// A director as a process, with its streamer and its bulletin.
+struct Rig {
+    child: Child,
+    at: SocketAddr,
+    log: BufReader<std::process::ChildStderr>,
+    streamer: TcpListener,
+    bulletin: TcpListener,
+    folder: PathBuf,
+}
+
+fn listener() -> TcpListener {
+    TcpListener::bind("127.0.0.1:0").expect("a port")
+}
+
+/// The next connection; fails where none comes.
+fn accept(listener: &TcpListener) -> TcpStream {
+    listener.set_nonblocking(true).expect("set");
+    let until = std::time::Instant::now() + LONG;
+    loop {
+        match listener.accept() {
+            Ok((stream, _)) => {
+                stream.set_nonblocking(false).expect("set");
+                return stream;
+            }
+            Err(_) if std::time::Instant::now() < until => std::thread::sleep(Duration::from_millis(2)),
+            Err(why) => panic!("no connection: {why}"),
+        }
+    }
+}
+
+fn member(id: &str, at: SocketAddr, phase: &str) -> String {
+    format!(
+        r#"{{"id":"{id}","host_port":"{at}","locality":"hall-a","flavor":"two-core","cell":0,"phase":"{phase}",
+        "size":1,"up_since_ms":0}}"#
+    )
+    .replace('\n', "")
+}
+
+impl Rig {
+    fn start() -> Rig {
+        let (streamer, bulletin) = (listener(), listener());
+        let folder = std::env::temp_dir().join(format!(
+            "stonewharf-test-{}-{}",
+            std::process::id(),
+            NEXT.fetch_add(1, Ordering::Relaxed)
+        ));
+        std::fs::create_dir_all(&folder).expect("a folder");
+        let members = member("s-1", streamer.local_addr().expect("bound"), "in_service");
+        let config = format!(
+            r#"{{"name":"n0","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964",
+            "limits":{{"cores":1.0,"memory_mb":192,"sockets":64}},"bulletin":"{}",
+            "known":{{"no":1,"items":[{{"no":1,"roster":{{"revision":1,"complete":true,"members":[{members}]}}}}]}},
+            "settings":{}}}"#,
+            bulletin.local_addr().expect("bound"),
+            common::SETTINGS
+        );
+        let file = folder.join("config.json");
+        std::fs::write(&file, config).expect("written");
+        let mut child = Command::new(env!("CARGO_BIN_EXE_stonewharf"))
+            .env("LB_CONFIG", &file)
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("started");
+        let mut log = BufReader::new(child.stderr.take().expect("piped"));
+        let line = next_line(&mut log, "serves");
+        let at = line.split("at: ").nth(1).and_then(|t| t.split(',').next()).expect("an address");
+        let at = at.trim().parse().expect("an address");
+        Rig { child, at, log, streamer, bulletin, folder }
+    }
+
+    fn viewer(&self) -> TcpStream {
+        let stream = TcpStream::connect(self.at).expect("taken");
+        stream.set_read_timeout(Some(LONG)).expect("set");
+        stream
+    }
+
+    fn streamer(&self) -> TcpStream {
+        let stream = accept(&self.streamer);
+        stream.set_read_timeout(Some(LONG)).expect("set");
+        stream
+    }
+
+    fn signal(&self, name: &str) {
+        let sent = Command::new("kill").args([name, &self.child.id().to_string()]).status();
+        assert!(sent.expect("sent").success());
+    }
+}
+
+impl Drop for Rig {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn next_line(log: &mut impl BufRead, with: &str) -> String {
+    let mut line = String::new();
+    while log.read_line(&mut line).expect("readable") > 0 {
+        if line.contains(with) {
+            return line;
+        }
+        line.clear();
+    }
+    panic!("no line with {with:?}");
+}
+
+fn message(kind: u8, session: u64, parameters: &[(u8, &[u8])]) -> Vec<u8> {
+    let mut body = vec![kind];
+    body.extend(session.to_be_bytes());
+    for (code, value) in parameters {
+        body.push(*code);
+        body.extend((value.len() as u16).to_be_bytes());
+        body.extend(*value);
+    }
+    [&(body.len() as u16).to_be_bytes()[..], &body].concat()
+}
+
+fn set_up(session: u64, class: &str) -> Vec<u8> {
+    let figures = b"home:0;copies:1;top:1;viewer:00000000b4d65521";
+    message(
+        1,
+        session,
+        &[(16, class.as_bytes()), (19, b"20000"), (28, b"7f3a"), (31, figures), (61, b"offer")],
+    )
+}
+
+/// The next message to a viewer: type, session, parameters.
+fn hear(stream: &mut TcpStream) -> (u8, u64, Vec<u8>) {
+    let mut length = [0; 2];
+    stream.read_exact(&mut length).expect("a message");
+    let mut body = vec![0; usize::from(u16::from_be_bytes(length))];
+    stream.read_exact(&mut body).expect("a whole message");
+    let session = u64::from_be_bytes(body[1..9].try_into().expect("eight bytes"));
+    (body[0], session, body[9..].to_vec())
+}
+
+/// The next message to a streamer, as text.
+fn read_rtsp(stream: &mut TcpStream) -> String {
+    let mut bytes = Vec::new();
+    let mut one = [0];
+    let length = loop {
+        stream.read_exact(&mut one).expect("a message");
+        bytes.push(one[0]);
+        if bytes.ends_with(b"\r\n\r\n") {
+            let text = String::from_utf8_lossy(&bytes).to_string();
+            let length = text.split("Content-Length: ").nth(1).and_then(|t| t.split('\r').next());
+            break length.and_then(|l| l.parse().ok()).expect("a length");
+        }
+    };
+    let mut body: Vec<u8> = vec![0; length];
+    stream.read_exact(&mut body).expect("a body");
+    String::from_utf8_lossy(&[bytes, body].concat()).to_string()
+}
+
+fn stands(session: u64, body: &str) -> Vec<u8> {
+    let length = body.len();
+    format!("RTSP/1.0 200 OK\r\nCSeq: 1\r\nSession: {session:016x}\r\nContent-Length: {length}\r\n\r\n{body}")
+        .into()
+}
+
+#[test]
+fn a_session_is_set_up_and_released_in_pieces() {
+    let rig = Rig::start();
+    let mut viewer = rig.viewer();
+    viewer.write_all(&message(52, 9, &[(58, &[0])])).expect("written");
+    assert_eq!(hear(&mut viewer), (53, 9, vec![58, 0, 1, 1]), "the test is passed");
+    for piece in set_up(0xa1, "replay").chunks(7) {
+        viewer.write_all(piece).expect("written");
+    }
+    let mut streamer = rig.streamer();
+    let asked = read_rtsp(&mut streamer);
+    assert!(asked.starts_with("SETUP rtsp://media/7f3a RTSP/1.0\r\n"), "{asked}");
+    assert!(asked.contains("X-Quality: 1\r\n") && asked.ends_with("\r\n\r\noffer"), "{asked}");
+    for piece in stands(0xa1, "answer").chunks(11) {
+        streamer.write_all(piece).expect("written");
+    }
+    assert_eq!(hear(&mut viewer), (9, 0xa1, [&[61, 0, 6][..], b"answer"].concat()));
+    // What ends a session may come in on any connection, and go out on any: the first viewer's is gone.
+    let mut other = rig.viewer();
+    other.write_all(&message(52, 10, &[(58, &[0])])).expect("written");
+    assert_eq!(hear(&mut other).0, 53);
+    drop(viewer);
+    let end =
+        "TEARDOWN rtsp://media/x RTSP/1.0\r\nCSeq: 2\r\nSession: 00000000000000a1\r\nReason: cause=16\r\n";
+    streamer.write_all(format!("{end}Content-Length: 0\r\n\r\n").as_bytes()).expect("written");
+    assert_eq!(hear(&mut other), (12, 0xa1, vec![58, 0, 1, 16]));
+}
+
+/// A connection that breaks after a set-up was written proves nothing: a paid viewer is told "failed".
+#[test]
+fn a_broken_connection_is_never_called_a_refusal_of_a_paid_set_up() {
+    let rig = Rig::start();
+    let mut viewer = rig.viewer();
+    viewer.write_all(&set_up(0xa2, "replay")).expect("written");
+    let mut streamer = rig.streamer();
+    read_rtsp(&mut streamer);
+    drop(streamer);
+    assert_eq!(hear(&mut viewer), (12, 0xa2, vec![58, 0, 1, 41]));
+}
+
+/// A malformed message costs its connection; the process and all other connections go on. So does a set-up
+/// of an unknown class, which is answered.
+#[test]
+fn malformed_messages_cost_their_connection_only() {
+    let rig = Rig::start();
+    let (mut good, mut bad) = (rig.viewer(), rig.viewer());
+    bad.write_all(&[0xff; 64]).expect("written");
+    assert_eq!(bad.read(&mut [0; 8]).unwrap_or(0), 0, "closed");
+    good.write_all(&set_up(0xa3, "unheard-of")).expect("written");
+    assert_eq!(hear(&mut good), (12, 0xa3, vec![58, 0, 1, 41]));
+    good.write_all(&set_up(0xa4, "seat-view")).expect("written");
+    let mut streamer = rig.streamer();
+    read_rtsp(&mut streamer);
+    streamer.write_all(b"NOT RTSP AT ALL\r\n\r\n").expect("written");
+    // It may have run, but a repeat is harmless: refused at once, as the module has no other streamer.
+    let (kind, session, parameters) = hear(&mut good);
+    assert_eq!((kind, session, &parameters[..4]), (12, 0xa4, &[58, 0, 1, 42][..]));
+}
+
+/// The bulletin is asked for what comes after the last event known, again where it broke off; a streamer that
+/// drains gets no set-up from then on.
+#[test]
+fn the_bulletin_is_resumed_and_obeyed() {
+    let rig = Rig::start();
+    let draining = member("s-1", rig.streamer.local_addr().expect("bound"), "terminating");
+    let event = format!(r#"{{"no":2,"roster":{{"revision":2,"complete":false,"members":[{draining}]}}}}"#);
+    for (expected, said) in [("after 1", format!("{event}\n{event}\n2\n")), ("after 2", "2\n".into())] {
+        let mut stream = accept(&rig.bulletin);
+        let mut line = String::new();
+        BufReader::new(stream.try_clone().expect("cloned")).read_line(&mut line).expect("a line");
+        assert_eq!(line.trim(), expected);
+        stream.write_all(said.as_bytes()).expect("written");
+    }
+    let mut viewer = rig.viewer();
+    viewer.write_all(&set_up(0xa5, "replay")).expect("written");
+    let (kind, session, parameters) = hear(&mut viewer);
+    assert_eq!((kind, session, &parameters[..4]), (12, 0xa5, &[58, 0, 1, 42][..]), "refused at once");
+}
+
+/// After SIGTERM connections and requests are still taken and answered; sessions that stand are released at
+/// the end, and the counters are printed, as they are on SIGUSR1.
+#[test]
+fn sigterm_ends_in_good_order() {
+    let mut rig = Rig::start();
+    let mut viewer = rig.viewer();
+    viewer.write_all(&set_up(0xa6, "replay")).expect("written");
+    let mut streamer = rig.streamer();
+    read_rtsp(&mut streamer);
+    streamer.write_all(&stands(0xa6, "answer")).expect("written");
+    assert_eq!(hear(&mut viewer).0, 9);
+    rig.signal("-USR1");
+    assert!(next_line(&mut rig.log, "counters").contains("served=1"));
+    rig.signal("-TERM");
+    next_line(&mut rig.log, "asked to end");
+    let mut late = rig.viewer();
+    late.write_all(&set_up(0xa7, "nobody's")).expect("written");
+    assert_eq!(hear(&mut late), (12, 0xa7, vec![58, 0, 1, 41]));
+    assert_eq!(hear(&mut viewer), (12, 0xa6, vec![58, 0, 1, 41]), "released at the end");
+    assert!(next_line(&mut rig.log, "ended").contains("taken=1"));
+    assert!(rig.child.wait().expect("ended").success());
+}
+
+/// A closed standard error costs the log, not the service.
+#[test]
+fn a_closed_log_does_not_stop_the_service() {
+    let mut rig = Rig::start();
+    let mut none = Command::new("true").stderr(Stdio::piped()).spawn().expect("started");
+    let gone = none.stderr.take().expect("piped");
+    drop(std::mem::replace(&mut rig.log, BufReader::new(gone)));
+    let mut viewer = rig.viewer();
+    rig.signal("-USR1");
+    for id in 1..50 {
+        viewer.write_all(&set_up(id, "unheard-of")).expect("written");
+        assert_eq!(hear(&mut viewer).1, id);
+    }
+    none.wait().expect("ended");
+    assert!(rig.child.try_wait().expect("asked").is_none(), "it still runs");
+}
+
+/// A director that can't start says why in one plain line.
+#[test]
+fn a_bad_configuration_is_one_line_and_a_failure() {
+    let file = std::env::temp_dir().join(format!("stonewharf-test-bad-{}.json", std::process::id()));
+    std::fs::write(&file, "{\"name\":7}").expect("written");
+    for config in [Some(file.as_path()), Some(std::path::Path::new("/nowhere/at/all.json")), None] {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_stonewharf"));
+        command.env_remove("LB_CONFIG");
+        config.map(|file| command.env("LB_CONFIG", file));
+        let out = command.output().expect("ran");
+        let said = String::from_utf8_lossy(&out.stderr).to_string();
+        assert!(!out.status.success());
+        assert!(said.starts_with("stonewharf: ") && said.lines().count() == 1, "{said}");
+    }
+    let _ = std::fs::remove_file(file);
+}
