--- a/src/director/ledger.rs
+++ b/src/director/ledger.rs
@@ -330,6 +330,7 @@
             {
                 session.stage = Stage::Standing { streamer, since: now };
                 session.owed = false;
+                session.parcel = Rc::default(); // needed for set-ups alone
                 self.standing_at.entry(streamer).or_default().insert(id);
                 out.counters.served += 1;
                 out.deeds.push(Deed::Answer(session.link, id, description));
