Take SIGHUP: read the configuration again and follow the bulletin to its new address

Now SIGHUP rereads LB_CONFIG, checks it as at a start (settings, seed, limits, module), and moves the bulletin's connection at once, asking from the last event heard. A file that could not be started with is one log line and changes nothing. Sessions and connections are not touched.

--- a/src/director/counters.rs
+++ b/src/director/counters.rs
@@ -91,6 +91,8 @@
     overfull,
     /// Times that no descriptor was left to take a connection.
     descriptors_out,
+    /// Configurations read again.
+    reloads,
     /// Breaks of the bulletin.
     bulletin_breaks,
 }
--- a/src/net/bulletin.rs
+++ b/src/net/bulletin.rs
@@ -5,7 +5,7 @@
 use crate::interface::Micros;
 use crate::platform::MESSAGE_MAX;
 use crate::platform::bulletin::{self, Notice};
-use slog::{debug, warn};
+use slog::{debug, info, warn};
 use std::net::SocketAddr;
 
 /// The bulletin writes every second; silent for this long it is taken for broken.
@@ -39,6 +39,17 @@
         self.line.as_ref().is_some_and(|l| l.token() == token)
     }
 
+    /// Follows the bulletin at another address from here on, beginning after the last event heard.
+    pub fn follow(&mut self, shared: &mut Shared, address: SocketAddr) {
+        if address == self.address {
+            return;
+        }
+        info!(shared.log, "the bulletin has moved"; "to" => %address, "after" => self.last);
+        (self.address, self.line, self.back_off) = (address, None, BACK_OFF_US);
+        self.due = shared.now;
+        self.due(shared);
+    }
+
     /// Looks after the connection when a deadline of it has come.
     pub fn due(&mut self, shared: &mut Shared) {
         if shared.now < self.due {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -23,6 +23,7 @@
 use slog::{Logger, info, warn};
 use std::io;
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use streamers::Streamers;
@@ -85,6 +86,7 @@
     viewers: Viewers,
     streamers: Streamers,
     bulletin: Bulletin,
+    file: Option<PathBuf>,
     ending: bool,
     done: bool,
 }
@@ -116,6 +118,7 @@
             viewers,
             streamers,
             bulletin,
+            file: config.file().map(Path::to_owned),
             ending,
             done,
         };
@@ -194,6 +197,7 @@
                     info!(self.shared.log, "counters"; "counters" => %counters);
                 }
                 Asked::End => self.end(),
+                Asked::Reload => self.reload(),
             }
         }
     }
@@ -208,6 +212,25 @@
         self.shared.wake(grace, Due::Quit);
     }
 
+    /// Reads the configuration again and takes over what can change under way: where the bulletin is. One
+    /// that could not be started with changes nothing.
+    fn reload(&mut self) {
+        let read = || {
+            let config = Config::from_file(self.file.as_deref().ok_or(ConfigError::Unnamed)?)?;
+            let (settings, ..) = Vocabulary::read(&config.settings)?;
+            Director::new(settings, config.seed()?, self.shared.now)?;
+            Ok::<_, NodeError>(config)
+        };
+        match read() {
+            Ok(config) => {
+                self.shared.counters.reloads += 1;
+                info!(self.shared.log, "the configuration was read again");
+                self.bulletin.follow(&mut self.shared, config.bulletin);
+            }
+            Err(why) => warn!(self.shared.log, "the old configuration stays: {why}"),
+        }
+    }
+
     fn due(&mut self, due: Due) {
         let shared = &mut self.shared;
         match due {
--- a/src/net/signals.rs
+++ b/src/net/signals.rs
@@ -1,6 +1,6 @@
 //! Signals as bytes on a socket that the loop watches.
 use super::poll::{Poll, Token, Watched};
-use signal_hook::consts::{SIGINT, SIGTERM, SIGUSR1};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use signal_hook::low_level::pipe;
 use std::io::{self, Read};
 use std::os::unix::net::UnixStream;
@@ -10,6 +10,8 @@
 pub enum Asked {
     /// Come to an end in good order (SIGTERM, SIGINT).
     End,
+    /// Read the configuration again (SIGHUP).
+    Reload,
     /// Print the counters (SIGUSR1).
     Counters,
 }
@@ -23,7 +25,13 @@
     /// Takes the signals over.
     pub fn take(poll: &mut Poll) -> io::Result<Self> {
         let mut pipes = Vec::new();
-        for (signal, asked) in [(SIGTERM, Asked::End), (SIGINT, Asked::End), (SIGUSR1, Asked::Counters)] {
+        let signals = [
+            (SIGTERM, Asked::End),
+            (SIGINT, Asked::End),
+            (SIGHUP, Asked::Reload),
+            (SIGUSR1, Asked::Counters),
+        ];
+        for (signal, asked) in signals {
             let (ours, handlers) = UnixStream::pair()?;
             ours.set_nonblocking(true)?;
             pipe::register(signal, handlers)?;
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -3,7 +3,7 @@
 use crate::settings::{Info, NameError};
 use serde::Deserialize;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 /// A configuration that a director can't start with.
 #[derive(Debug, thiserror::Error)]
@@ -70,6 +70,9 @@
     pub known: Known,
     /// The module's settings.
     pub settings: Info,
+    /// The file it was read from, where it was.
+    #[serde(skip)]
+    file: Option<PathBuf>,
 }
 
 /// The fewest descriptors that a director can work with.
@@ -87,16 +90,22 @@
         let path = file.display().to_string();
         let text = std::fs::read(file);
         let text = text.map_err(|why| ConfigError::Unreadable { path: path.clone(), why })?;
-        let config: Config =
+        let mut config: Config =
             serde_json::from_slice(&text).map_err(|why| ConfigError::Malformed { path, why })?;
         config.seed()?;
         if config.limits.sockets < LEAST_SOCKETS {
             let sockets = config.limits.sockets;
             return Err(ConfigError::Value(format!("{sockets} sockets are too few, {LEAST_SOCKETS} needed")));
         }
+        config.file = Some(file.to_owned());
         Ok(config)
     }
 
+    /// The file it was read from.
+    pub fn file(&self) -> Option<&Path> {
+        self.file.as_deref()
+    }
+
     /// The seed of the director's random numbers.
     pub fn seed(&self) -> Result<u64, ConfigError> {
         let seed = u64::from_str_radix(self.seed.trim_start_matches("0x"), 16);
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -240,9 +240,7 @@
     let event = format!(r#"{{"no":2,"roster":{{"revision":2,"complete":false,"members":[{draining}]}}}}"#);
     for (expected, said) in [("after 1", format!("{event}\n{event}\n2\n")), ("after 2", "2\n".into())] {
         let mut stream = accept(&rig.bulletin);
-        let mut line = String::new();
-        BufReader::new(stream.try_clone().expect("cloned")).read_line(&mut line).expect("a line");
-        assert_eq!(line.trim(), expected);
+        assert_eq!(asked_after(&stream), expected);
         stream.write_all(said.as_bytes()).expect("written");
     }
     let mut viewer = rig.viewer();
@@ -251,6 +249,37 @@
     assert_eq!((kind, session, &parameters[..4]), (12, 0xa5, &[58, 0, 1, 42][..]), "refused at once");
 }
 
+fn asked_after(stream: &TcpStream) -> String {
+    let mut line = String::new();
+    BufReader::new(stream.try_clone().expect("cloned")).read_line(&mut line).expect("a line");
+    line.trim().to_owned()
+}
+
+/// SIGHUP ended the process. It must leave sessions and connections alone, keep the old configuration where
+/// the new one is bad, and follow the bulletin to its new address from the last event heard.
+#[test]
+fn sighup_moves_to_the_new_bulletin_and_keeps_all_else() {
+    let mut rig = Rig::start();
+    let mut viewer = rig.viewer();
+    viewer.write_all(&message(52, 9, &[(58, &[0])])).expect("written");
+    assert_eq!(hear(&mut viewer).0, 53);
+    let mut old = accept(&rig.bulletin);
+    assert_eq!(asked_after(&old), "after 1");
+    old.write_all(b"{\"no\":2}\n2\n").expect("written");
+    let file = rig.folder.join("config.json");
+    let text = std::fs::read_to_string(&file).expect("there");
+    std::fs::write(&file, text.replace("at_most_once", "whenever")).expect("written");
+    rig.signal("-HUP");
+    next_line(&mut rig.log, "the old configuration stays");
+    let moved = listener();
+    let [was, is] = [&rig.bulletin, &moved].map(|l| l.local_addr().expect("bound").to_string());
+    std::fs::write(&file, text.replace(&was, &is)).expect("written");
+    rig.signal("-HUP");
+    assert_eq!(asked_after(&accept(&moved)), "after 2");
+    viewer.write_all(&message(52, 10, &[(58, &[0])])).expect("written");
+    assert_eq!(hear(&mut viewer), (53, 10, vec![58, 0, 1, 1]), "the connection is kept");
+}
+
 /// After SIGTERM connections and requests are still taken and answered; sessions that stand are released at
 /// the end, and the counters are printed, as they are on SIGUSR1.
 #[test]
