Answer or close what bad viewers send, and make room in a full table

A trace of the viewers' sockets showed what they send: nothing at all, half a message, type 123, number 0, figures missing or out of range, a number that is open on another connection, one number hundreds of times. Ruled out: answers lost on the way (each one sent was read), CPU (0.02 s a second at most).

At fault: viewers.rs accept() paused the listener when the table was full and no connection had a deadline; viewer.rs read() took unknown types for idle words, closed on any bad parameter and took absent figures for nought; ledger.rs wanted() dropped a set-up under a taken number without an answer; line.rs take() threw away whole messages ahead of an unreadable one; LinkLost searched all sessions.

Now: 1.5 s to say something that is answered; silent and idle connections make room; what has a number is answered once as failed; a taken number leaves the other's session alone; a set-up is given up on its own connection only; 256 open requests a connection (the module refuses more); 32 unusable set-ups in a row close a connection; 128 KiB unwritten at most; buffers shrink; titles are hashed, not kept.

--- a/src/director/counters.rs
+++ b/src/director/counters.rs
@@ -37,6 +37,8 @@
     sent,
     /// Attempts after a request's first.
     sent_again,
+    /// Set-ups that could not be used, answered as failed: unreadable, out of range, or under a taken number.
+    unusable,
     /// Requests answered with a session that stands.
     served,
     /// Requests refused.
@@ -81,6 +83,8 @@
     strays,
     /// Connections taken from viewers.
     viewer_connections,
+    /// Connections from viewers closed for their silence, or to make room.
+    viewers_shed,
     /// Connections opened to streamers.
     streamer_connections,
     /// Connections to streamers that never came up.
--- a/src/director/ledger.rs
+++ b/src/director/ledger.rs
@@ -39,6 +39,15 @@
     owed: bool,
 }
 
+/// What is on a connection from viewers.
+#[derive(Default)]
+struct OnLink {
+    /// Requests that wait for their final answer.
+    open: BTreeSet<RequestId>,
+    /// Sessions that stand.
+    standing: usize,
+}
+
 /// What one step of the ledger leads to: events for the module and deeds outside.
 #[derive(Default)]
 pub(super) struct Outbox {
@@ -52,6 +61,7 @@
 pub(super) struct Ledger {
     sessions: BTreeMap<RequestId, Session>,
     standing_at: BTreeMap<StreamerId, BTreeSet<RequestId>>,
+    links: BTreeMap<ViewerLink, OnLink>,
     fleet: BTreeMap<StreamerId, Standing>,
     floors: Vec<usize>,
     max_attempts: u32,
@@ -78,7 +88,31 @@
 
     /// How many requests still wait for their final answer.
     pub(super) fn owed(&self) -> usize {
-        self.sessions.values().filter(|s| s.owed).count()
+        self.links.values().map(|l| l.open.len()).sum()
+    }
+
+    /// Requests that wait for their final answer on a connection, and sessions that stand from it.
+    pub(super) fn on_link(&self, link: ViewerLink) -> (usize, usize) {
+        self.links.get(&link).map_or((0, 0), |l| (l.open.len(), l.standing))
+    }
+
+    /// The final answer of a request is no longer owed.
+    fn discharge(&mut self, id: RequestId) {
+        let Some(session) = self.sessions.get_mut(&id).filter(|s| s.owed) else { return };
+        session.owed = false;
+        let link = session.link;
+        self.on(link, |l| {
+            l.open.remove(&id);
+        });
+    }
+
+    /// Books a change on a connection, and keeps nothing of one that has nothing on it.
+    fn on(&mut self, link: ViewerLink, change: impl FnOnce(&mut OnLink)) {
+        let on = self.links.entry(link).or_default();
+        change(on);
+        if on.open.is_empty() && on.standing == 0 {
+            self.links.remove(&link);
+        }
     }
 
     pub(super) fn hear(&mut self, now: Micros, input: Input, out: &mut Outbox) {
@@ -86,11 +120,11 @@
             Input::List { scope, entries } => self.list(scope, entries, out),
             Input::Wanted { link, request, parcel } => self.wanted(now, link, request, parcel, out),
             Input::Playing { link, request, streamer } => self.playing(now, link, request, streamer, out),
-            Input::ViewerLeft(id) => self.viewer_left(id, out),
+            Input::Unusable(link, id) => self.unusable(link, id, out),
+            Input::ViewerLeft(link, id) => self.viewer_left(link, id, out),
             Input::LinkLost(link) => {
-                let lost = self.sessions.iter().filter(|(_, s)| s.link == link && s.owed);
-                let lost: Vec<_> = lost.map(|(id, _)| *id).collect();
-                lost.into_iter().for_each(|id| self.viewer_left(id, out));
+                let open = self.links.get(&link).map(|l| l.open.clone()).unwrap_or_default();
+                open.into_iter().for_each(|id| self.viewer_left(link, id, out));
             }
             Input::Stands { streamer, session, number, description } => {
                 self.stands(now, streamer, session, number, description, out);
@@ -214,6 +248,7 @@
             }
         }
         self.standing_at.clear();
+        self.links.clear();
     }
 
     fn list(&mut self, scope: ListScope, entries: Vec<Entry>, out: &mut Outbox) {
@@ -241,19 +276,41 @@
     ) {
         let id = request.id;
         if self.sessions.contains_key(&id) {
-            out.counters.strays += 1; // ids are never used again: this one is answered already or will be
-            return;
+            return self.unusable(link, id, out);
         }
         out.counters.taken += 1;
+        let request = Request { beside: self.on_link(link).0, ..request };
         let deadline = now.saturating_add(request.left_us.saturating_sub(ANSWER_MARGIN_US));
         let rung = self.floors.get(request.class.0).copied().unwrap_or(0);
         let stage = Stage::Deciding;
         let session = Session { link, parcel, stage, rung, attempts: 0, deadline, owed: true };
         self.sessions.insert(id, session);
+        self.on(link, |l| {
+            l.open.insert(id);
+        });
         out.deeds.push(Deed::Wake(deadline.saturating_add(ANSWER_GRACE_US), Due::Answer(id)));
         out.events.push(Event::Inbound(request));
     }
 
+    /// A set-up that can't be used, as one under a number that is taken. Where that number is open on the
+    /// same connection the viewer can't tell whose answer it gets: both have failed. A session that came on
+    /// another connection is not touched.
+    fn unusable(&mut self, link: ViewerLink, id: RequestId, out: &mut Outbox) {
+        out.counters.unusable += 1;
+        match self.sessions.get(&id) {
+            Some(s) if s.link == link && matches!(s.stage, Stage::Standing { .. }) => {
+                out.counters.strays += 1; // answered already; one more would end what stands
+                return;
+            }
+            Some(s) if s.link == link && s.owed => {
+                self.discharge(id);
+                self.abandon(id, out);
+            }
+            _ => {}
+        }
+        out.deeds.push(Deed::Spurn(link, id));
+    }
+
     fn playing(
         &mut self,
         now: Micros,
@@ -278,12 +335,14 @@
         let session = Session { link, parcel, stage, rung, attempts: 0, deadline: 0, owed: false };
         self.sessions.insert(id, session);
         self.standing_at.entry(streamer).or_default().insert(id);
+        self.on(link, |l| l.standing += 1);
         out.events.push(Event::Preexisting(request, streamer));
         out.deeds.push(Deed::Attend(streamer));
     }
 
-    fn viewer_left(&mut self, id: RequestId, out: &mut Outbox) {
-        let Some(session) = self.sessions.get_mut(&id) else {
+    /// What ends a session may come on any connection, what gives a set-up up on its own alone.
+    fn viewer_left(&mut self, link: ViewerLink, id: RequestId, out: &mut Outbox) {
+        let Some(session) = self.sessions.get(&id).filter(|s| !s.owed || s.link == link) else {
             out.counters.strays += 1;
             return;
         };
@@ -292,8 +351,9 @@
             out.deeds.push(Deed::Drop(streamer, id));
             return self.over(id, streamer, Outcome::Canceled, LoadReport::default(), out);
         }
-        if std::mem::take(&mut session.owed) {
+        if session.owed {
             out.counters.left_early += 1;
+            self.discharge(id);
             self.abandon(id, out);
         }
     }
@@ -329,11 +389,13 @@
                 if at == streamer && number == Some(n) =>
             {
                 session.stage = Stage::Standing { streamer, since: now };
-                session.owed = false;
                 session.parcel = Rc::default(); // needed for set-ups alone
+                let link = session.link;
+                self.discharge(id);
+                self.on(link, |l| l.standing += 1);
                 self.standing_at.entry(streamer).or_default().insert(id);
                 out.counters.served += 1;
-                out.deeds.push(Deed::Answer(session.link, id, description));
+                out.deeds.push(Deed::Answer(link, id, description));
                 out.deeds.push(Deed::Attend(streamer));
                 let latency_us = now.saturating_sub(since);
                 out.events.push(Event::Started { request: id, streamer, latency_us });
@@ -475,7 +537,12 @@
         report: LoadReport,
         out: &mut Outbox,
     ) {
-        let attempt = self.sessions.remove(&id).map_or(0, |s| s.attempts.saturating_sub(1));
+        self.discharge(id);
+        let session = self.sessions.remove(&id);
+        if let Some(Session { link, stage: Stage::Standing { .. }, .. }) = session {
+            self.on(link, |l| l.standing = l.standing.saturating_sub(1));
+        }
+        let attempt = session.map_or(0, |s| s.attempts.saturating_sub(1));
         if let Some(here) = self.standing_at.get_mut(&streamer) {
             here.remove(&id);
             if here.is_empty() {
@@ -513,10 +580,10 @@
 
     /// The viewer's time is up and the module has not answered: a give-up still waits to be written.
     fn answer_due(&mut self, id: RequestId, out: &mut Outbox) {
-        let Some(session) = self.sessions.get_mut(&id).filter(|s| s.owed) else { return };
-        session.owed = false;
+        let Some(session) = self.sessions.get(&id).filter(|s| s.owed) else { return };
         out.counters.failed += 1;
         out.deeds.push(Deed::Fail(session.link, id));
+        self.discharge(id);
         self.abandon(id, out);
     }
 
@@ -553,6 +620,7 @@
     fn settle(&mut self, id: RequestId) -> Option<ViewerLink> {
         let session = self.sessions.get(&id).filter(|s| s.owed && s.stage == Stage::Deciding)?;
         let link = session.link;
+        self.discharge(id);
         self.sessions.remove(&id);
         Some(link)
     }
--- a/src/director/messages.rs
+++ b/src/director/messages.rs
@@ -89,8 +89,10 @@
         /// Where it plays.
         streamer: StreamerId,
     },
+    /// A set-up came that can't be used.
+    Unusable(ViewerLink, RequestId),
     /// A viewer gave its set-up up, or ended its session.
-    ViewerLeft(RequestId),
+    ViewerLeft(ViewerLink, RequestId),
     /// A connection from viewers is gone.
     LinkLost(ViewerLink),
     /// A streamer answered that the session stands.
@@ -173,6 +175,8 @@
     Refuse(ViewerLink, RequestId, Micros),
     /// Answer: failed.
     Fail(ViewerLink, RequestId),
+    /// Answer: failed, since the set-up could not be used; that speaks against its connection.
+    Spurn(ViewerLink, RequestId),
     /// Tell the viewer that its session is over.
     Release(ViewerLink, RequestId, Over),
     /// Tell the viewer to come again.
--- a/src/director/mod.rs
+++ b/src/director/mod.rs
@@ -57,6 +57,11 @@
         self.ledger.standing_at(streamer)
     }
 
+    /// Requests that wait for their final answer on a connection, and sessions that stand from it.
+    pub fn on_link(&self, link: ViewerLink) -> (usize, usize) {
+        self.ledger.on_link(link)
+    }
+
     /// How many requests wait for their final answer.
     pub fn owed(&self) -> usize {
         self.ledger.owed()
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -340,6 +340,8 @@
     pub left_us: Micros,
     /// The viewer comes again (after a refusal, a break or a move), or the client marked a repeat.
     pub returned: bool,
+    /// Requests that wait for their answer on the same connection, where the front end knows.
+    pub beside: usize,
 }
 
 /// Values of a load report that came along; absent ones are `None`.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -32,7 +32,7 @@
 //! controller.handle(0, Event::List { scope: ListScope::Full, entries: vec![entry] }, &mut actions);
 //! let request = Request {
 //!     id: RequestId(1), class: ClassId(0), tenant: None, title: TitleId(0), viewer: ViewerId(0),
-//!     start_cell: 0, cells_in_row: 1, max_rung: 2, left_us: 3_000_000, returned: false,
+//!     start_cell: 0, cells_in_row: 1, max_rung: 2, left_us: 3_000_000, returned: false, beside: 0,
 //! };
 //! controller.handle(1_000, Event::Inbound(request), &mut actions);
 //! assert!(actions.iter().any(|a| matches!(a, Action::Send { streamer: StreamerId(4), .. })));
--- a/src/net/bulletin.rs
+++ b/src/net/bulletin.rs
@@ -15,7 +15,7 @@
 const BACK_OFF_US: Micros = 50_000;
 const BACK_OFF_MOST_US: Micros = 1_000_000;
 /// The longest line: a whole list of a large fleet.
-const LINE_MOST: usize = 512 * MESSAGE_MAX;
+const LINE_MOST: usize = 64 * MESSAGE_MAX;
 
 /// The bulletin as this director follows it.
 pub struct Bulletin {
@@ -102,14 +102,7 @@
             return Vec::new();
         }
         let got = line.read();
-        let lines = match line.take(whole_line) {
-            Ok(lines) => lines,
-            Err(()) => {
-                shared.counters.malformed += 1;
-                self.broke(shared, "an endless line");
-                return Vec::new();
-            }
-        };
+        let (lines, endless) = line.take(whole_line);
         if !lines.is_empty() {
             self.back_off = BACK_OFF_US;
             self.expect(shared, SILENT_US);
@@ -141,6 +134,10 @@
             }
         }
         match got {
+            _ if endless.is_some() => {
+                shared.counters.malformed += 1;
+                self.broke(shared, "an endless line");
+            }
             Ok(Got::Bytes) => {}
             Ok(Got::End) => self.broke(shared, "closed"),
             Err(why) => self.broke(shared, &why.to_string()),
--- a/src/net/line.rs
+++ b/src/net/line.rs
@@ -8,6 +8,9 @@
 /// Bytes read from one connection in one turn at most, so that none keeps the others waiting.
 const READ_MOST: usize = 64 * 1024;
 
+/// What an idle buffer may keep.
+const KEPT: usize = 4 * 1024;
+
 /// What reading brought.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Got {
@@ -85,24 +88,31 @@
         Ok(Got::Bytes)
     }
 
-    /// Takes whole messages off what has been read, one at a time, with `parse`.
+    /// Takes whole messages off what has been read, one at a time, with `parse`; also those ahead of what
+    /// can't be read, and why that can't.
     pub fn take<M, E>(
         &mut self,
         parse: impl Fn(&[u8]) -> Result<Option<(M, usize)>, E>,
-    ) -> Result<Vec<M>, E> {
+    ) -> (Vec<M>, Option<E>) {
         let (mut messages, mut at) = (Vec::new(), 0);
-        let done = loop {
+        let bad = loop {
             match parse(self.inbox.get(at..).unwrap_or_default()) {
                 Ok(Some((message, length))) => {
                     messages.push(message);
                     at += length;
                 }
-                Ok(None) => break Ok(messages),
-                Err(e) => break Err(e),
+                Ok(None) => break None,
+                Err(e) => break Some(e),
             }
         };
         self.inbox.drain(..at.min(self.inbox.len()));
-        done
+        shrink(&mut self.inbox);
+        (messages, bad)
+    }
+
+    /// Whether part of a message has been read.
+    pub fn partial(&self) -> bool {
+        !self.inbox.is_empty()
     }
 
     /// Adds bytes to what is to be written.
@@ -139,8 +149,16 @@
             }
         }
         self.outbox.clear();
+        shrink(&mut self.outbox);
         self.written = 0;
         self.socket.interest(true, false)?;
         Ok(true)
     }
 }
+
+/// Gives back what a burst has left a buffer with.
+fn shrink(buffer: &mut Vec<u8>) {
+    if buffer.capacity() > KEPT && buffer.len() <= KEPT {
+        buffer.shrink_to(KEPT);
+    }
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -20,7 +20,7 @@
 use poll::Poll;
 use shared::{Due, Shared};
 use signals::{Asked, Signals};
-use slog::{Logger, info, warn};
+use slog::{Logger, debug, info, warn};
 use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -172,21 +172,22 @@
             let deeds = self.director.turn(self.shared.now, inputs);
             deeds.into_iter().for_each(|deed| self.carry_out(deed));
         }
+        self.viewers.close_ended(&mut self.shared);
         Ok(())
     }
 
     fn ready(&mut self, token: usize, readable: bool, writable: bool) {
         let shared = &mut self.shared;
         if self.viewers.has(token) {
-            let messages = self.viewers.ready(shared, token, readable, writable);
+            let (messages, ended) = self.viewers.ready(shared, token, readable, writable);
             messages.into_iter().for_each(|message| self.heard_viewer(ViewerLink(token), message));
-            if !self.viewers.has(token) {
-                self.shared.inputs.push(Input::LinkLost(ViewerLink(token)));
+            if ended {
+                self.viewers.ended(&mut self.shared, token);
             }
         } else if self.streamers.has(token) {
             self.streamers.ready(shared, token, readable, writable);
         } else if self.viewers.is_listener(token) {
-            self.viewers.accept(shared);
+            self.viewers.accept(shared, &self.director);
         } else if self.bulletin.has(token) {
             let news = self.bulletin.ready(shared, readable, writable);
             news.iter().for_each(|notice| self.notice(notice, false));
@@ -243,7 +244,8 @@
                 shared.wake(streamers::WATCH_US, Due::Watch);
             }
             Due::Bulletin => self.bulletin.due(shared),
-            Due::Accept => self.viewers.resume(shared),
+            Due::Viewer(token) => self.viewers.due(shared, token, &self.director),
+            Due::Accept => self.viewers.resume(shared, &self.director),
             Due::Quit => {
                 let deeds = self.director.close();
                 deeds.into_iter().for_each(|deed| self.carry_out(deed));
@@ -255,11 +257,15 @@
     fn heard_viewer(&mut self, link: ViewerLink, message: FromViewer) {
         match message {
             FromViewer::SetUp(set_up) => self.wanted(link, *set_up),
-            FromViewer::Left(id) => self.shared.inputs.push(Input::ViewerLeft(id)),
+            FromViewer::Left(id) => self.shared.inputs.push(Input::ViewerLeft(link, id)),
             FromViewer::Test(id) => {
                 let result = viewer::test_result(id, !self.ending);
                 self.viewers.say(&mut self.shared, link, &result);
             }
+            FromViewer::Unusable(id, why) => {
+                debug!(self.shared.log, "a set-up can't be used: {why}");
+                self.shared.inputs.push(Input::Unusable(link, id));
+            }
             FromViewer::Idle => {}
         }
     }
@@ -281,16 +287,19 @@
             left_us: wait_us,
             returned: set_up.again || set_up.retry,
         };
-        let request = match self.names.request(&wanted) {
+        let request = match self.names.in_range(&wanted).and_then(|()| self.names.request(&wanted)) {
             Ok(request) => request,
             Err(why) => {
-                warn!(self.shared.log, "a set-up can't be taken: {why}");
-                self.shared.counters.failed += 1;
-                return self.viewers.say(&mut self.shared, link, &viewer::release(id, viewer::CAUSE_FAILED));
+                debug!(self.shared.log, "a set-up can't be used: {why}");
+                return self.shared.inputs.push(Input::Unusable(link, id));
             }
         };
         self.shared.inputs.push(match &set_up.at {
-            Some(at) => Input::Playing { link, request, streamer: StreamerId(self.names.streamers.id(at)) },
+            Some(at) => {
+                self.viewers.brought(link);
+                let streamer = StreamerId(self.names.streamers.known(at).unwrap_or(u32::MAX));
+                Input::Playing { link, request, streamer }
+            }
             None => {
                 let SetUp { class, title, description, .. } = set_up;
                 Input::Wanted { link, request, parcel: Rc::new(Parcel { class, title, description }) }
@@ -321,7 +330,7 @@
         let shared = &mut self.shared;
         match deed {
             Deed::Answer(link, id, description) => match viewer::answer(id, &description) {
-                Some(bytes) => self.viewers.say(shared, link, &bytes),
+                Some(bytes) => self.viewers.stands(shared, link, &bytes),
                 None => self.viewers.say(shared, link, &viewer::release(id, viewer::CAUSE_FAILED)),
             },
             Deed::Refuse(link, id, hold_off_us) => {
@@ -330,6 +339,7 @@
             Deed::Fail(link, id) => {
                 self.viewers.say(shared, link, &viewer::release(id, viewer::CAUSE_FAILED));
             }
+            Deed::Spurn(link, id) => self.viewers.spurn(shared, link, id),
             Deed::Release(link, id, why) => {
                 let cause = if why == Over::Ended { viewer::CAUSE_ENDED } else { viewer::CAUSE_FAILED };
                 self.viewers.release(shared, link, viewer::release(id, cause));
--- a/src/net/shared.rs
+++ b/src/net/shared.rs
@@ -19,6 +19,8 @@
     Watch,
     /// Look after the bulletin.
     Bulletin,
+    /// Look after a connection from viewers.
+    Viewer(Token),
     /// Take connections again.
     Accept,
     /// The grace time after SIGTERM is over.
--- a/src/net/streamers.rs
+++ b/src/net/streamers.rs
@@ -410,15 +410,7 @@
     fn read(&mut self, shared: &mut Shared, token: Token) {
         let Some(link) = self.links.get_mut(&token) else { return };
         let got = link.line.read();
-        let messages = match link.line.take(rtsp::read) {
-            Ok(messages) => messages,
-            Err(why) => {
-                shared.counters.malformed += 1;
-                let streamer = link.streamer.0;
-                warn!(shared.log, "malformed message, connection closed: {why}"; "streamer" => streamer);
-                return self.down(shared, token);
-            }
-        };
+        let (messages, bad) = link.line.take(rtsp::read);
         if !messages.is_empty() {
             link.heard_at = shared.now;
             if let Some(pool) = self.pools.get_mut(&link.streamer) {
@@ -426,6 +418,12 @@
             }
         }
         messages.into_iter().for_each(|message| link.hear(shared, message));
+        if let Some(why) = bad {
+            shared.counters.malformed += 1;
+            let streamer = link.streamer.0;
+            warn!(shared.log, "malformed message, connection closed: {why}"; "streamer" => streamer);
+            return self.down(shared, token);
+        }
         match got {
             Ok(Got::Bytes) => {}
             Ok(Got::End) => self.down(shared, token),
--- a/src/net/viewers.rs
+++ b/src/net/viewers.rs
@@ -1,31 +1,59 @@
-//! The viewers' side: the listener and the connections that viewers' sessions come in on.
+//! The viewers' side: the listener and the connections that viewers' sessions come in on. A connection that
+//! says nothing, or nothing that can be answered, is closed; a full table makes room.
 use super::line::{Got, Line};
 use super::poll::{Token, Watched};
 use super::shared::{Due, Shared};
-use crate::director::{Input, ViewerLink};
-use crate::interface::Micros;
+use crate::director::{Director, Input, ViewerLink};
+use crate::interface::{Micros, RequestId};
 use crate::platform::viewer::{self, FromViewer};
-use slog::{info, warn};
+use slog::{debug, info, warn};
 use socket2::{Domain, Protocol, Socket, Type};
 use std::collections::{BTreeMap, VecDeque};
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 
 const BACKLOG: i32 = 1024;
+/// Connections taken in one turn at most, so that a crowd does not keep those that are up waiting.
+const ACCEPT_MOST: usize = 128;
 /// A viewers' connection that does not read is closed from so many unwritten bytes.
-const UNWRITTEN_MOST: usize = 1 << 20;
+const UNWRITTEN_MOST: usize = 128 * 1024;
 /// Pause of the listener when no descriptor is left.
 const ACCEPT_PAUSE_US: Micros = 50_000;
+/// By then a connection has said something that is answered, or is closed; the same holds for the rest of a
+/// message that has begun.
+const SILENT_US: Micros = 1_500_000;
+/// Between further looks at a connection.
+const LOOK_US: Micros = 500_000;
+/// A connection without a session is closed by its viewer after 4 s; held longer it is closed from here.
+const IDLE_US: Micros = 6_000_000;
+/// Set-ups that can't be used after which a connection is closed; one that stands begins the count anew.
+const SPURNED_MOST: u32 = 32;
 /// How long a release waits for a connection from viewers to be sent on.
 const RELEASE_KEPT_US: Micros = 8_000_000;
 const RELEASES_KEPT: usize = 20_000;
 
+/// A connection from viewers.
+struct Caller {
+    line: Line,
+    since: Micros,
+    heard_at: Micros,
+    /// Since when part of a message waits for the rest.
+    partial_since: Option<Micros>,
+    /// Something was said on it, or it brought sessions that play: it is a viewer's.
+    answered: bool,
+    /// A session of it has stood.
+    stood: bool,
+    spurned: u32,
+}
+
 /// Listener and connections of the viewers.
 pub struct Viewers {
     listener: Watched<TcpListener>,
-    lines: BTreeMap<Token, Line>,
+    callers: BTreeMap<Token, Caller>,
     most: usize,
     kept: VecDeque<(Micros, Vec<u8>)>,
+    /// With something that can't be read: closed when what came ahead of it has been answered.
+    ending: Vec<Token>,
 }
 
 impl Viewers {
@@ -37,7 +65,7 @@
         socket.bind(&at.into())?;
         socket.listen(BACKLOG)?;
         let listener = shared.poll.watch(TcpListener::from(socket), false)?;
-        Ok(Viewers { listener, lines: BTreeMap::new(), most, kept: VecDeque::new() })
+        Ok(Viewers { listener, callers: BTreeMap::new(), most, kept: VecDeque::new(), ending: Vec::new() })
     }
 
     /// Where it listens.
@@ -52,33 +80,89 @@
 
     /// Whether a token is one of the connections'.
     pub fn has(&self, token: Token) -> bool {
-        self.lines.contains_key(&token)
+        self.callers.contains_key(&token)
     }
 
-    /// Takes the connections that wait, as many as there are descriptors for.
-    pub fn accept(&mut self, shared: &mut Shared) {
-        while self.lines.len() < self.most {
+    /// Takes the connections that wait. A full table makes room for them.
+    pub fn accept(&mut self, shared: &mut Shared, director: &Director) {
+        for _ in 0..ACCEPT_MOST {
             match self.listener.source().accept() {
-                Ok((stream, _)) => match Line::accepted(&mut shared.poll, stream) {
-                    Ok(line) => {
-                        shared.counters.viewer_connections += 1;
-                        let token = line.token();
-                        self.lines.insert(token, line);
-                        self.deliver_kept(shared);
+                Ok((stream, _)) => {
+                    if self.callers.len() >= self.most && !self.make_room(shared, director) {
+                        shared.counters.viewers_shed += 1;
+                        continue; // all others wait for answers
+                    }
+                    match Line::accepted(&mut shared.poll, stream) {
+                        Ok(line) => self.take(shared, line),
+                        Err(why) => warn!(shared.log, "a connection from viewers could not be set up: {why}"),
                     }
-                    Err(why) => warn!(shared.log, "a connection from viewers could not be set up: {why}"),
-                },
+                }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
                 Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 Err(why) => {
                     shared.counters.descriptors_out += 1;
+                    if self.make_room(shared, director) {
+                        continue;
+                    }
                     warn!(shared.log, "no connection can be taken: {why}");
                     return self.pause(shared);
                 }
             }
         }
-        self.pause(shared);
+    }
+
+    fn take(&mut self, shared: &mut Shared, line: Line) {
+        shared.counters.viewer_connections += 1;
+        let (token, now) = (line.token(), shared.now);
+        let caller = Caller {
+            line,
+            since: now,
+            heard_at: now,
+            partial_since: None,
+            answered: false,
+            stood: false,
+            spurned: 0,
+        };
+        self.callers.insert(token, caller);
+        shared.wake(SILENT_US, Due::Viewer(token));
+        self.deliver_kept(shared);
+    }
+
+    /// Closes a connection on which no request waits: best one that has said nothing, then one on which no
+    /// session ever stood, the longest unheard of first.
+    fn make_room(&mut self, shared: &mut Shared, director: &Director) -> bool {
+        let free = |t: &Token| director.on_link(ViewerLink(*t)).0 == 0;
+        let unheard = self.callers.iter().filter(|(t, _)| free(t));
+        let least = unheard.min_by_key(|(_, c)| (c.stood, c.answered, c.heard_at)).map(|(t, _)| *t);
+        least.inspect(|token| self.shed(shared, *token)).is_some()
+    }
+
+    fn shed(&mut self, shared: &mut Shared, token: Token) {
+        shared.counters.viewers_shed += 1;
+        self.close(shared, token);
+    }
+
+    fn close(&mut self, shared: &mut Shared, token: Token) {
+        if self.callers.remove(&token).is_some() {
+            shared.inputs.push(Input::LinkLost(ViewerLink(token)));
+        }
+    }
+
+    /// Looks after a connection: closes one that has said nothing in its time, or holds a message back, or has
+    /// had nothing on it for long.
+    pub fn due(&mut self, shared: &mut Shared, token: Token, director: &Director) {
+        let Some(caller) = self.callers.get(&token) else { return };
+        let (open, standing) = director.on_link(ViewerLink(token));
+        let over = |since: Micros, span: Micros| since.saturating_add(span) <= shared.now;
+        let held_back = caller.partial_since.is_some_and(|since| over(since, SILENT_US));
+        let silent = !caller.answered && over(caller.since, SILENT_US);
+        let idle = standing == 0 && over(caller.heard_at, IDLE_US);
+        if open == 0 && (silent || held_back || idle) {
+            debug!(shared.log, "a silent connection from viewers is closed");
+            return self.shed(shared, token);
+        }
+        shared.wake(LOOK_US, Due::Viewer(token));
     }
 
     /// Without a pause the waiting connections would wake the loop again at once.
@@ -89,50 +173,84 @@
     }
 
     /// Takes connections again after a pause.
-    pub fn resume(&mut self, shared: &mut Shared) {
+    pub fn resume(&mut self, shared: &mut Shared, director: &Director) {
         if let Err(why) = self.listener.interest(true, false) {
             warn!(shared.log, "the listener can't be watched: {why}");
         }
-        self.accept(shared);
+        self.accept(shared, director);
     }
 
-    /// Reads and writes a connection that is ready; returns the whole messages that came.
+    /// Reads and writes a connection that is ready; returns the whole messages that came, and whether its
+    /// viewer has closed it behind them.
     pub fn ready(
         &mut self,
         shared: &mut Shared,
         token: Token,
         readable: bool,
         writable: bool,
-    ) -> Vec<FromViewer> {
-        let Some(line) = self.lines.get_mut(&token) else { return Vec::new() };
-        let mut messages = Vec::new();
-        let mut broken = None;
-        if writable && let Err(why) = line.write() {
-            broken = Some(why.to_string());
-        }
-        while readable && broken.is_none() {
-            let got = line.read();
-            match line.take(viewer::read) {
-                Ok(whole) => messages.extend(whole),
-                Err(why) => {
-                    shared.counters.malformed += 1;
-                    warn!(shared.log, "malformed message from viewers, connection closed: {why}");
-                    broken = Some(String::new());
-                }
-            }
-            match got {
-                Ok(Got::Bytes) => break,
-                Ok(Got::End) => broken = Some(String::new()),
-                Err(why) => broken = Some(why.to_string()),
-            }
+    ) -> (Vec<FromViewer>, bool) {
+        let Some(caller) = self.callers.get_mut(&token) else { return (Vec::new(), true) };
+        if writable && let Err(why) = caller.line.write() {
+            debug!(shared.log, "a connection from viewers broke: {why}");
+            return (Vec::new(), true);
         }
-        if let Some(why) = broken {
-            if !why.is_empty() {
-                info!(shared.log, "a connection from viewers broke: {why}");
-            }
-            self.lines.remove(&token);
+        if !readable {
+            return (Vec::new(), false);
+        }
+        let got = caller.line.read();
+        let (whole, bad) = caller.line.take(viewer::read);
+        if !whole.is_empty() {
+            caller.heard_at = shared.now;
+            caller.partial_since = None;
+        }
+        if caller.line.partial() {
+            caller.partial_since.get_or_insert(shared.now);
+        }
+        if let Some(why) = bad {
+            shared.counters.malformed += 1;
+            debug!(shared.log, "malformed message from viewers, connection closed: {why}");
+            self.ending.push(token);
+        }
+        if let Err(why) = &got {
+            debug!(shared.log, "a connection from viewers broke: {why}");
+        }
+        (whole, !matches!(got, Ok(Got::Bytes)))
+    }
+
+    /// Closes a connection that its viewer has closed.
+    pub fn ended(&mut self, shared: &mut Shared, token: Token) {
+        self.close(shared, token);
+    }
+
+    /// Closes the connections with something that can't be read.
+    pub fn close_ended(&mut self, shared: &mut Shared) {
+        std::mem::take(&mut self.ending).into_iter().for_each(|token| self.close(shared, token));
+    }
+
+    /// A connection brought a session that plays already and wants no answer.
+    pub fn brought(&mut self, link: ViewerLink) {
+        if let Some(caller) = self.callers.get_mut(&link.0) {
+            (caller.answered, caller.stood) = (true, true);
+        }
+    }
+
+    /// Sends the answer that a session stands.
+    pub fn stands(&mut self, shared: &mut Shared, link: ViewerLink, bytes: &[u8]) {
+        if let Some(caller) = self.callers.get_mut(&link.0) {
+            (caller.stood, caller.spurned) = (true, 0);
+        }
+        self.say(shared, link, bytes);
+    }
+
+    /// Answers a set-up that can't be used; a connection that goes on with them is closed.
+    pub fn spurn(&mut self, shared: &mut Shared, link: ViewerLink, id: RequestId) {
+        self.say(shared, link, &viewer::release(id, viewer::CAUSE_FAILED));
+        let Some(caller) = self.callers.get_mut(&link.0) else { return };
+        caller.spurned += 1;
+        if caller.spurned >= SPURNED_MOST {
+            info!(shared.log, "nothing on a connection from viewers can be used, closed");
+            self.shed(shared, link.0);
         }
-        messages
     }
 
     /// Sends a final answer, or another word that matters on its own connection alone.
@@ -142,11 +260,14 @@
 
     /// Sends what ends a session: on its own connection, else on any, else on the next that comes.
     pub fn release(&mut self, shared: &mut Shared, link: ViewerLink, bytes: Vec<u8>) {
-        if self.say_on(shared, link.0, &bytes) {
+        if !self.ending.contains(&link.0) && self.say_on(shared, link.0, &bytes) {
             return;
         }
-        let others: Vec<Token> = self.lines.keys().rev().copied().collect();
-        if others.into_iter().any(|other| self.say_on(shared, other, &bytes)) {
+        // Those that are known for viewers' come first.
+        let others = self.callers.iter().filter(|(t, _)| !self.ending.contains(t));
+        let mut others: Vec<_> = others.map(|(t, c)| (c.stood, c.answered, c.heard_at, *t)).collect();
+        others.sort_unstable_by(|a, b| b.cmp(a));
+        if others.into_iter().any(|other| self.say_on(shared, other.3, &bytes)) {
             return;
         }
         if self.kept.len() < RELEASES_KEPT {
@@ -155,20 +276,20 @@
     }
 
     fn say_on(&mut self, shared: &mut Shared, token: Token, bytes: &[u8]) -> bool {
-        let Some(line) = self.lines.get_mut(&token) else { return false };
-        line.put(bytes);
-        let written = line.write();
-        let overfull = line.unwritten() > UNWRITTEN_MOST;
+        let Some(caller) = self.callers.get_mut(&token) else { return false };
+        caller.answered = true;
+        caller.line.put(bytes);
+        let written = caller.line.write();
+        let overfull = caller.line.unwritten() > UNWRITTEN_MOST;
         match written {
             Ok(_) if !overfull => return true,
             Ok(_) => {
                 shared.counters.overfull += 1;
                 warn!(shared.log, "viewers do not read, connection closed");
             }
-            Err(why) => info!(shared.log, "a connection from viewers broke: {why}"),
+            Err(why) => debug!(shared.log, "a connection from viewers broke: {why}"),
         }
-        self.lines.remove(&token);
-        shared.inputs.push(Input::LinkLost(ViewerLink(token)));
+        self.close(shared, token);
         false
     }
 
--- a/src/platform/viewer.rs
+++ b/src/platform/viewer.rs
@@ -11,6 +11,9 @@
 const TEST: u8 = 52;
 const TEST_RESULT: u8 = 53;
 
+/// The longest name of a class or title.
+const NAME_MOST: usize = 128;
+
 const P_CLASS: u8 = 16;
 const P_WAIT: u8 = 19;
 const P_RETRY: u8 = 25;
@@ -27,12 +30,19 @@
 /// Cause of a failure, and of a release after a session was cut.
 pub const CAUSE_FAILED: u8 = 41;
 
-/// What a viewer can get wrong so that its connection can't go on.
+/// What a viewer can get wrong. A length that can't be ends its connection, since no later message can be
+/// found behind it; anything else is answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum ViewerError {
     /// The length is under that of the fixed part, or over the limit.
     #[error("message length {0} is out of bounds")]
     Length(usize),
+    /// Of a type that viewers don't send.
+    #[error("type {0} is no viewer's message")]
+    Kind(u8),
+    /// It has no number.
+    #[error("a set-up without a number")]
+    Unnumbered,
     /// A parameter does not fit into its message.
     #[error("a parameter runs past the end of its message")]
     Parameter,
@@ -82,6 +92,8 @@
     Left(RequestId),
     /// A test; carries the id to answer with.
     Test(RequestId),
+    /// A set-up that can't be used, or a message of no known type; it is answered under its number.
+    Unusable(RequestId, ViewerError),
     /// Means nothing to a director.
     Idle,
 }
@@ -97,18 +109,24 @@
     let [kind, s0, s1, s2, s3, s4, s5, s6, s7, parameters @ ..] = body else { return Ok(None) };
     let session = u64::from_be_bytes([*s0, *s1, *s2, *s3, *s4, *s5, *s6, *s7]);
     let message = match *kind {
-        SET_UP => FromViewer::SetUp(Box::new(set_up(session, parameters)?)),
+        SET_UP => match set_up(session, parameters) {
+            Ok(set_up) => FromViewer::SetUp(Box::new(set_up)),
+            Err(why) => FromViewer::Unusable(RequestId(session), why),
+        },
         RELEASE => FromViewer::Left(RequestId(session)),
         TEST => FromViewer::Test(RequestId(session)),
         PROGRESS | RELEASE_HEARD => FromViewer::Idle,
-        _ => FromViewer::Idle, // types of later versions
+        other => FromViewer::Unusable(RequestId(session), ViewerError::Kind(other)),
     };
     Ok(Some((message, 2 + length)))
 }
 
 fn set_up(session: u64, mut parameters: &[u8]) -> Result<SetUp, ViewerError> {
+    if session == 0 {
+        return Err(ViewerError::Unnumbered);
+    }
     let mut set_up = SetUp { session, ..SetUp::default() };
-    let (mut class, mut title) = (None, None);
+    let (mut class, mut title, mut figured) = (None, None, false);
     while let [code, high, low, rest @ ..] = parameters {
         let length = usize::from(u16::from_be_bytes([*high, *low]));
         let value = rest.get(..length).ok_or(ViewerError::Parameter)?;
@@ -124,7 +142,7 @@
             P_TITLE => title = Some(text()?.to_owned()),
             P_WAIT => set_up.wait_ms = Some(text()?.parse().map_err(|_| ViewerError::SetUp(P_WAIT))?),
             P_RETRY => set_up.retry = text()? == "1",
-            P_FIGURES => figures(&mut set_up, text()?)?,
+            P_FIGURES => figured = figures(&mut set_up, text()?)?,
             _ => {}
         }
     }
@@ -133,22 +151,31 @@
     }
     set_up.class = class.ok_or(ViewerError::SetUp(P_CLASS))?;
     set_up.title = title.ok_or(ViewerError::SetUp(P_TITLE))?;
-    // Both travel on in the lines of a text protocol.
+    if !figured {
+        return Err(ViewerError::SetUp(P_FIGURES));
+    }
+    if set_up.wait_ms == Some(0) {
+        return Err(ViewerError::SetUp(P_WAIT));
+    }
+    // Both travel on in the lines of a text protocol, the title in an address.
+    let plain = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'.' | b'~');
     for (code, text) in [(P_CLASS, &set_up.class), (P_TITLE, &set_up.title)] {
-        if text.is_empty() || text.bytes().any(|b| !b.is_ascii_graphic()) {
+        if !(1..=NAME_MOST).contains(&text.len()) || !text.bytes().all(plain) {
             return Err(ViewerError::SetUp(code));
         }
     }
     Ok(set_up)
 }
 
-fn figures(set_up: &mut SetUp, text: &str) -> Result<(), ViewerError> {
+/// Takes the figures; tells whether all that a set-up must have are there.
+fn figures(set_up: &mut SetUp, text: &str) -> Result<bool, ViewerError> {
+    let (mut home, mut copies) = (false, false);
     for pair in text.split(';') {
         let Some((key, value)) = pair.split_once(':') else { continue };
         let number = || value.parse::<u32>().map_err(|_| ViewerError::SetUp(P_FIGURES));
         match key {
-            "home" => set_up.home = number()?,
-            "copies" => set_up.copies = number()?,
+            "home" => (set_up.home, home) = (number()?, true),
+            "copies" => (set_up.copies, copies) = (number()?, true),
             "top" => set_up.top = Some(number()? as usize),
             "viewer" => set_up.viewer = value.to_owned(),
             "again" => set_up.again = value == "1",
@@ -156,7 +183,7 @@
             _ => {}
         }
     }
-    Ok(())
+    Ok(home && copies && set_up.top.is_some() && !set_up.viewer.is_empty())
 }
 
 fn message(kind: u8, session: RequestId, parameters: &[(u8, &[u8])]) -> Vec<u8> {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -41,6 +41,7 @@
 const TENANT_SURE: f64 = 3.0; // arrivals as good as the belief that a tenant keeps to its share
 const LEAST_LEFT_US: Micros = 30_000; // less of the viewer's time than this is not worth a further attempt
 const JITTER: f64 = 0.06; // of a link, by which equal streamers are told apart: controllers must not herd
+const BESIDE_MOST: usize = 256; // open requests of one connection: more are refused at once
 const SWEEP: TimerTag = TimerTag(1);
 
 // ---- 1. Payoff: the paper's Erlang-loss pools ------------------------------------------------------------
@@ -421,6 +422,10 @@
 
     fn inbound(&mut self, request: Request, out: &mut Vec<Action>) {
         let (id, class) = (request.id, request.class);
+        if request.beside >= BESIDE_MOST {
+            self.sessions.insert(id, Session { request, ..Session::default() });
+            return self.answer(id, out); // one connection must not crowd out all others
+        }
         self.taken.extend(self.set.attempt_budget.map(|_| self.now));
         self.probes += f64::from(u8::from(!request.returned)) * PROBES_PER_SESSION;
         // Retries are no new demand: viewers are known by their key and the mark of a return.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -15,6 +15,14 @@
         /// The word.
         word: String,
     },
+    /// A figure that the settings leave no place for.
+    #[error("{what} {figure} is out of range")]
+    OutOfRange {
+        /// What the figure is.
+        what: &'static str,
+        /// The figure.
+        figure: u64,
+    },
     /// The settings are unusable.
     #[error("unusable settings: {0}")]
     Settings(#[from] SettingsError),
@@ -136,6 +144,11 @@
         id
     }
 
+    /// The number of a name that was met before.
+    pub fn known(&self, name: &str) -> Option<u32> {
+        self.by_name.get(name).copied()
+    }
+
     /// The name of a number.
     pub fn name(&self, id: u32) -> Option<&str> {
         self.names.get(id as usize).map(String::as_str)
@@ -309,11 +322,12 @@
 pub struct Vocabulary {
     /// Streamers, by their ids.
     pub streamers: Names,
-    titles: Names,
     zones: Names,
     classes: Vec<String>,
     tenants: Vec<String>,
     kinds: Vec<String>,
+    cells: u32,
+    rungs: usize,
 }
 
 impl Vocabulary {
@@ -324,11 +338,12 @@
         settings.check()?;
         let vocabulary = Vocabulary {
             streamers: Names::default(),
-            titles: Names::default(),
             zones,
             classes: info.lanes.iter().map(|l| l.name.clone()).collect(),
             tenants: info.accounts.iter().map(|a| a.name.clone()).collect(),
             kinds: info.kinds.clone(),
+            cells: info.family_info.cells,
+            rungs: info.family_info.ladder_kb.len(),
         };
         Ok((settings, vocabulary, Carriage::of(info)))
     }
@@ -339,19 +354,32 @@
         class.map(ClassId).ok_or_else(|| NameError::word("class", name))
     }
 
+    /// Whether the figures of a request are within what the settings name.
+    pub fn in_range(&self, wanted: &Wanted<'_>) -> Result<(), NameError> {
+        let within = |what, figure: u64, ok: bool| {
+            if ok { Ok(()) } else { Err(NameError::OutOfRange { what, figure }) }
+        };
+        let (home, copies) = (wanted.start_cell, wanted.cells_in_row);
+        within("home", u64::from(home), home < self.cells)?;
+        within("copies", u64::from(copies), (1..=self.cells).contains(&copies))?;
+        let top = wanted.max_rung.unwrap_or(0);
+        within("top", top as u64, top < self.rungs)
+    }
+
     /// A request in the module's terms.
     pub fn request(&mut self, wanted: &Wanted<'_>) -> Result<Request, NameError> {
         Ok(Request {
             id: RequestId(wanted.id),
             class: self.class(wanted.class)?,
             tenant: wanted.tenant.and_then(|t| self.tenants.iter().position(|n| n == t)).map(TenantId),
-            title: TitleId(self.titles.id(wanted.title)),
-            viewer: viewer_id(wanted.viewer),
+            title: TitleId(hash(wanted.title)),
+            viewer: ViewerId(hash(wanted.viewer)),
             start_cell: wanted.start_cell,
             cells_in_row: wanted.cells_in_row,
             max_rung: wanted.max_rung.unwrap_or(usize::MAX),
             left_us: wanted.left_us,
             returned: wanted.returned,
+            beside: 0,
         })
     }
 
@@ -369,7 +397,8 @@
     }
 }
 
-/// A viewer's number: a hash (FNV-1a), since viewers come and go without end and a table of them would grow.
-fn viewer_id(name: &str) -> ViewerId {
-    ViewerId(name.bytes().fold(0x811c_9dc5, |h: u32, b| (h ^ u32::from(b)).wrapping_mul(0x0100_0193)))
+/// The number of a viewer or title: a hash (FNV-1a), since they come and go without end and a table of them
+/// would grow.
+fn hash(name: &str) -> u32 {
+    name.bytes().fold(0x811c_9dc5, |h, b| (h ^ u32::from(b)).wrapping_mul(0x0100_0193))
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -80,6 +80,7 @@
         max_rung: 3,
         left_us: 4 * S,
         returned: false,
+        beside: 0,
     }
 }
 
