Blame no streamer and count no demand for titles that never stood

A trace: their titles are none that any session has; the streamers answer 500 to each, up to four attempts a request.

At fault: rules.rs ended() took each error as evidence against the streamer, inbound() counted each request as an arrival and its viewer as known, may_send() let it be the trial of a barred streamer.

Now a title is proven when a session of it stands (for 10 minutes after). Before that an error is no evidence, the request is no arrival until it stands and no trial, has two attempts where one may have run, and 16 such requests are open at most. A title's empty seats are dropped.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -42,6 +42,9 @@
 const LEAST_LEFT_US: Micros = 30_000; // less of the viewer's time than this is not worth a further attempt
 const JITTER: f64 = 0.06; // of a link, by which equal streamers are told apart: controllers must not herd
 const BESIDE_MOST: usize = 256; // open requests of one connection: more are refused at once
+const UNPROVEN_MOST: usize = 16; // open requests for titles that never stood
+const UNPROVEN_TRIES: usize = 2; // attempts of such a request where one may have run
+const TITLE_US: Micros = 600_000_000; // a title that stood is known to exist for so long
 const SWEEP: TimerTag = TimerTag(1);
 
 // ---- 1. Payoff: the paper's Erlang-loss pools ------------------------------------------------------------
@@ -205,6 +208,7 @@
     counted_s: f64,
     pools: Vec<usize>,
     viewers: BTreeMap<ViewerId, (Micros, f64)>,
+    titles: BTreeMap<TitleId, Micros>,
     tenants: Vec<f64>,
     probes: f64,
     taken: VecDeque<Micros>,
@@ -229,6 +233,7 @@
             held: vec![0; classes],
             meters: (0..classes).map(|_| Meter::default()).collect(),
             pools: vec![0; classes],
+            probes: PROBES_PER_SESSION, // on credit, until a session stands
             tenants: settings.tenants.iter().map(|t| t.quota_per_s * TENANT_S / n).collect(),
             slot_kb: (ladder[0] * ladder[ladder.len() - 1]).sqrt(),
             set: settings,
@@ -427,18 +432,40 @@
             return self.answer(id, out); // one connection must not crowd out all others
         }
         self.taken.extend(self.set.attempt_budget.map(|_| self.now));
-        self.probes += f64::from(u8::from(!request.returned)) * PROBES_PER_SESSION;
-        // Retries are no new demand: viewers are known by their key and the mark of a return.
         let known = self.viewers.get(&request.viewer).map(|v| v.1);
-        self.meters[class.0].arrivals += f64::from(u8::from(!request.returned && known.is_none()));
         let worth = known.unwrap_or_else(|| self.tenant_worth(request.tenant));
-        self.viewers.insert(request.viewer, (self.now, worth));
+        if self.titles.contains_key(&request.title) {
+            self.count(&request, worth);
+        } else if self.unproven_out() >= UNPROVEN_MOST {
+            self.sessions.insert(id, Session { request, ..Session::default() });
+            return self.answer(id, out);
+        }
         let (rung, deadline) = (self.set.classes[class.0].lowest_rung, self.now + request.left_us);
         let session = Session { request, deadline, rung, changed_at: self.now, worth, ..Session::default() };
         self.sessions.insert(id, session);
         self.attempt(id, out);
     }
 
+    /// Whether the title of a session is known to exist: one has stood here.
+    fn proven(&self, session: &Session) -> bool {
+        self.titles.contains_key(&session.request.title)
+    }
+
+    /// Counts a request as demand. Retries are none: viewers are known by their key and the mark of a return.
+    fn count(&mut self, request: &Request, worth: f64) {
+        let first = f64::from(u8::from(!request.returned));
+        let new = first * f64::from(u8::from(!self.viewers.contains_key(&request.viewer)));
+        self.probes += first * PROBES_PER_SESSION;
+        self.meters[request.class.0].arrivals += new;
+        self.viewers.insert(request.viewer, (self.now, worth));
+    }
+
+    /// Set-ups under way of titles that never stood: who asks for what no streamer knows must not fill links.
+    fn unproven_out(&self) -> usize {
+        let unproven = |s: &&Session| !s.answered && !self.proven(s);
+        self.sessions.values().filter(unproven).count()
+    }
+
     fn handed(&mut self, request: Request, streamer: StreamerId) {
         self.handed_over = true;
         self.probes += PROBES_PER_SESSION;
@@ -446,6 +473,7 @@
         self.viewers.insert(request.viewer, (self.now, 1.0));
         let session =
             Session { request, rung, worth: 1.0, playing: true, answered: true, ..Session::default() };
+        self.titles.insert(session.request.title, self.now);
         self.sessions.insert(id, session);
         self.place(id, Some(streamer));
         self.streamers.entry(streamer).and_modify(|s| s.warm_known = true);
@@ -705,11 +733,18 @@
         self.judge(at, -1.0, "", &mut Vec::new());
         let Some(session) = self.sessions.get_mut(&id) else { return };
         (session.playing, session.answered, session.changed_at) = (true, true, self.now);
+        let (request, worth) = (session.request.clone(), session.worth);
+        if self.titles.insert(request.title, self.now).is_none() {
+            self.count(&request, worth);
+        }
     }
 
     fn ended(&mut self, id: RequestId, at: StreamerId, outcome: Outcome, last: bool, out: &mut Vec<Action>) {
         let (evidence, why) = match outcome {
-            Outcome::Failed if self.sessions.get(&id).is_some_and(|s| !s.playing) => (1.5, "set-up failed"),
+            // [D10] An error on a title that never stood says as much of the title.
+            Outcome::Failed if self.sessions.get(&id).is_some_and(|s| !s.playing && self.proven(s)) => {
+                (1.5, "set-up failed")
+            }
             Outcome::TimedOut => (1.0, "set-up timed out"),
             Outcome::ConnectError => (2.0, "no connection"),
             Outcome::Reset => (1.5, "connection reset"),
@@ -751,8 +786,8 @@
         let class = &self.set.classes[session.request.class.0];
         let ran = session.may_have_run.is_some();
         let harmless = !ran || class.effect != Effect::AtMostOnce;
-        let in_time = self.now + LEAST_LEFT_US < session.deadline
-            && session.tried.len() < self.set.max_attempts as usize;
+        let most = if ran && !self.proven(session) { UNPROVEN_TRIES } else { self.set.max_attempts as usize };
+        let in_time = self.now + LEAST_LEFT_US < session.deadline && session.tried.len() < most;
         if harmless && in_time && (session.tried.is_empty() || self.budget_allows()) {
             self.attempt(id, out);
         } else {
@@ -789,7 +824,7 @@
             }
         };
         // A barred streamer is tried now and then, by a session that can be set up again without harm.
-        let trial = class.effect == Effect::Idempotent && self.now >= s.trial_at;
+        let trial = class.effect == Effect::Idempotent && self.now >= s.trial_at && self.proven(session);
         let trusted = self.suspicion(s) < BARRED || trial;
         holds && open && seated && harmless && trusted && (!self.is_cold(s) || self.cold_turn(s).is_some())
     }
@@ -863,6 +898,9 @@
         let sign: isize = if at.is_some() { 1 } else { -1 };
         let held = self.seats.entry(seat).or_default();
         *held = held.saturating_add_signed(sign);
+        if *held == 0 {
+            self.seats.remove(&seat); // titles come and go
+        }
         self.held[class.0] = self.held[class.0].saturating_add_signed(sign);
         self.book(streamer, kb * sign as f64, sign);
         let (s, session) = (self.streamers.get_mut(&streamer), self.sessions.get_mut(&id));
@@ -920,6 +958,8 @@
             counts.chain([&mut self.counted_s]).for_each(|count| *count *= FADE);
             let since = now.saturating_sub(6 * CHOOSE_US);
             self.viewers.retain(|_, v| v.0 > since);
+            let since = now.saturating_sub(TITLE_US);
+            self.titles.retain(|_, at| *at > since);
         }
     }
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -115,6 +115,15 @@
         self.give(Event::Inbound(request))
     }
 
+    /// Lets a session of each title stand and end.
+    pub fn prove_titles(&mut self) {
+        for id in 1000..1005 {
+            let at = sent(&self.ask(request(id, 0))).expect("sent");
+            self.start(id, at);
+            self.end(id, at, Outcome::Ok, true);
+        }
+    }
+
     pub fn start(&mut self, id: u64, at: StreamerId) -> Vec<Action> {
         self.give(Event::Started { request: RequestId(id), streamer: at, latency_us: 50_000 })
     }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -232,6 +232,7 @@
 #[test]
 fn a_failing_streamer_is_barred_and_tried_again_later() {
     let mut b = Bench::new(settings(idempotent()));
+    b.prove_titles();
     let bad = sent(&b.ask(request(1, 0))).expect("sent");
     let out = b.end(1, bad, Outcome::Failed, false);
     assert!(out.iter().any(|a| matches!(a, Action::Log(l) if l.contains("suspected"))));
@@ -246,6 +247,27 @@
     assert!(again, "suspicion fades");
 }
 
+/// Clients that ask for what no streamer knows drew an error from every healthy streamer, which barred them
+/// all, and counted as arrivals. Their titles never stood.
+#[test]
+fn a_title_that_never_stood_blames_no_streamer_and_counts_for_nothing() {
+    let mut b = Bench::new(settings(idempotent()));
+    b.prove_titles();
+    let unknown = |id| Request { title: TitleId(77), viewer: ViewerId(77), max_rung: 0, ..request(id, 0) };
+    for id in 1..40 {
+        let mut at = sent(&b.ask(unknown(id))).expect("all are trusted still");
+        let mut tries = 1;
+        while let Some(next) = sent(&b.end(id, at, Outcome::Failed, false)) {
+            (at, tries) = (next, tries + 1);
+        }
+        assert_eq!(tries, 2, "an error elsewhere is no news after two");
+    }
+    let open = (100..200).filter(|id| sent(&b.ask(unknown(*id))).is_some()).count();
+    assert_eq!(open, 16, "few of them are out at a time");
+    let out = b.ask(request(300, 0));
+    assert!(sent(&out).is_some(), "a title that has stood is not held up by them");
+}
+
 #[test]
 fn full_links_are_refused_at_once_and_room_is_kept_for_the_dear_class() {
     let mut b = Bench::new(settings(vec![class(1.0, Effect::Idempotent), class(9.0, Effect::Idempotent)]));
@@ -318,6 +340,7 @@
 fn an_idle_pool_lends_its_slots_while_links_have_room() {
     let mut b = Bench::new(settings(vec![class(1.0, Effect::Idempotent), class(9.0, Effect::Idempotent)]));
     let small = |id| Request { max_rung: 0, ..request(id, 0) };
+    b.prove_titles();
     let sent_all = (1..=30).filter(|id| sent(&b.ask(small(*id))).is_some()).count();
     // Split by worth, the cheap class owns a tenth of the slots, 15 at most: the rest is borrowed.
     assert_eq!(sent_all, 30);
@@ -409,6 +432,7 @@
     let report = LoadReport { link: Some(1.0), ..LoadReport::default() };
     let out = b.give(Event::Probed { streamer: full, outcome: Outcome::Ok, report });
     assert!(sent(&out).is_some_and(|at| at != full), "decides by the answer, at once: {out:?}");
+    b.start(1, sent(&out).expect("sent"));
     assert!(sent(&b.ask(request(2, 0))).is_none(), "asks again");
     // Two are asked at most, and neither holds it for more than half a second.
     let sends = (0..5).filter(|_| sent(&b.sweep(250_000)).is_some()).count();
