--- a/src/net/viewers.rs
+++ b/src/net/viewers.rs
@@ -149,8 +149,8 @@
         }
     }
 
-    /// Looks after a connection: closes one that has said nothing in its time, holds a message back, or has had
-    /// nothing on it for long.
+    /// Looks after a connection: closes one that has said nothing in its time, holds a message back, or has
+    /// had nothing on it for long.
     pub fn due(&mut self, shared: &mut Shared, token: Token, director: &Director) {
         let Some(caller) = self.callers.get(&token) else { return };
         let (open, standing) = director.on_link(ViewerLink(token));
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -537,8 +537,8 @@
         self.send(id, s, rung, out);
     }
 
-    /// Whether a request can try a barred streamer: a set-up alone shows that it is well again, one that stalls
-    /// answers tests of its load. There must be time left to go elsewhere.
+    /// Whether a request can try a barred streamer: a set-up alone shows that it is well again, as one that
+    /// stalls answers tests of its load. There must be time left to go elsewhere.
     fn tries(&self, id: RequestId) -> bool {
         let Some(session) = self.sessions.get(&id) else { return false };
         let class = &self.set.classes[session.request.class.0];
