Don't believe reports that may be older than the sessions handed over

A trace of its start: at 0.6 s the load tests told of 0.30 on links and 0.14 on the uplink of rack 0, where 0.86 was asked; the module went from 0.94 to 0.20, sent nearly all new sessions there, and from 1 to 4 s its streamers delivered 0.91 to 0.97. Ruled out: the account before the first report (0.94 and 0.99), the sockets (tests answered within 5 ms).

At fault: rules.rs report() took each report as 0.3 s old; refreshed now and then and late, it may be from before the handover, when the links were empty. For 0.6 s after it reports are not believed nor asked for.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -29,6 +29,7 @@
 const STALLED: f64 = 0.3; // share delivered under which a streamer stalls, whatever is asked of it
 const TOLD: f64 = 10.0; // reports over which the mean use of links, or of uplinks, is taken
 const REPORT_AGE_US: Micros = 300_000; // how old a report in an answer is taken to be
+const REPORT_OLDEST_US: Micros = 600_000; // how old it may be: refreshed now and then, and late
 const UNEVEN: f64 = 4.0; // own sessions on a link that say as much of the others' there as the mean does
 const HALF_LIFE_S: f64 = 10.0; // seconds in which suspicion halves
 const BARRED: f64 = 1.0; // suspicion from which a streamer gets nothing but trials
@@ -198,7 +199,7 @@
     rng: Option<ChaCha8Rng>,
     born: Micros,
     now: Micros,
-    handed_over: bool,
+    handed_at: Option<Micros>,
     ticking: bool,
     asked_at: Option<Micros>,
     swept_at: Micros,
@@ -391,9 +392,17 @@
         ((limit - self.link_load(s)) * s.link.cap_kb).min(uplink)
     }
 
+    /// Whether reports may be older than what was handed over: they would tell of empty links.
+    fn handed_just_now(&self) -> bool {
+        self.handed_at.is_some_and(|at| at + REPORT_OLDEST_US > self.now)
+    }
+
     /// Takes a load report that came along with an answer or a probe.
     fn report(&mut self, id: StreamerId, report: LoadReport) {
         let at = self.now.saturating_sub(REPORT_AGE_US);
+        if self.handed_just_now() {
+            return;
+        }
         let short = self.streamers.get(&id).is_some_and(|s| s.link.short_within(self.now, FRESH_US));
         // A capped report says 1 for any overload; a note of short delivery tells more.
         let link = report.link.or(report.link_capped.filter(|x| *x < 0.98 || !short));
@@ -483,7 +492,7 @@
     }
 
     fn handed(&mut self, request: Request, streamer: StreamerId) {
-        self.handed_over = true;
+        self.handed_at = Some(self.now);
         self.probes += PROBES_PER_SESSION;
         let (id, rung) = (request.id, self.set.classes[request.class.0].lowest_rung);
         self.viewers.insert(request.viewer, (self.now, 1.0));
@@ -548,7 +557,10 @@
     /// Asks the streamer about to be chosen for its load [D8], unless heard of just now; then the next best.
     fn ask_first(&mut self, id: RequestId, at: StreamerId, out: &mut Vec<Action>) -> bool {
         let now = self.now;
-        let wanted = self.set.probes && self.set.reports != ReportMode::Silent && self.probes >= 1.0;
+        let wanted = self.set.probes
+            && !self.handed_just_now()
+            && self.set.reports != ReportMode::Silent
+            && self.probes >= 1.0;
         let (Some(s), Some(session)) = (self.streamers.get_mut(&at), self.sessions.get_mut(&id)) else {
             return false;
         };
@@ -727,7 +739,7 @@
     fn is_cold(&self, s: &Streamer) -> bool {
         let warm_at = |since: Micros| since.saturating_add(self.set.warm_up_us);
         // After an own restart the list is stale: any streamer may have restarted unseen.
-        let unsure = !self.handed_over && !s.warm_known && self.now < warm_at(self.born);
+        let unsure = self.handed_at.is_none() && !s.warm_known && self.now < warm_at(self.born);
         unsure || s.cold_since.is_some_and(|since| self.now < warm_at(since))
     }
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -247,6 +247,23 @@
     assert!(again, "suspicion fades");
 }
 
+/// Reports made before the sessions of a handover were there told of empty links: the rack that was asked first
+/// was flooded in the first two seconds and delivered short.
+#[test]
+fn a_report_older_than_the_handover_is_not_believed() {
+    let mut b = with_session(one_of(0, 2), 3.0);
+    b.now = S / 2;
+    let calm = LoadReport { link: Some(0.1), uplink: Some(0.1), ..LoadReport::default() };
+    let mut flooded = |now| {
+        b.now = now;
+        b.give(Event::Preexisting(request(now, 0), StreamerId(0)));
+        b.now += S / 4;
+        b.give(Event::Probed { streamer: StreamerId(0), outcome: Outcome::Ok, report: calm });
+        (0..8).filter(|id| sent(&b.ask(request(now + 10 + id, 0))) == Some(StreamerId(0))).count()
+    };
+    assert_eq!(flooded(30 * S), 0, "it is the fullest by own account");
+}
+
 /// One streamer that stalled with its link clear was taken for a short uplink: the account of its rack went to
 /// 15, its healthy neighbours' sessions were stepped to the floor, and nothing was sent to any for 12 s.
 #[test]
