Step own sessions down for a request without room, where that earns more

One step from 3 to 2 frees the lowest rate of several sessions. Ruled out: full pools alone (they borrow), barred streamers (none).

At fault: rules.rs attempt() refused as soon as no link had room for the lowest rung; sessions were stepped down only from an account over 1.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -50,6 +50,8 @@
 const UNPROVEN_MOST: usize = 16; // open requests for titles that never stood
 const UNPROVEN_TRIES: usize = 2; // attempts of such a request where one may have run
 const TITLE_US: Micros = 600_000_000; // a title that stood is known to exist for so long
+const SQUEEZED_US: Micros = 3_000_000; // a session is not stepped down again for a newcomer within this
+const SQUEEZE_GAIN: f64 = 0.9; // part of a newcomer's worth that may be lost for it
 const SWEEP: TimerTag = TimerTag(1);
 
 // ---- 1. Payoff: the paper's Erlang-loss pools ------------------------------------------------------------
@@ -199,7 +201,7 @@
     rng: Option<ChaCha8Rng>,
     born: Micros,
     now: Micros,
-    handed_at: Option<Micros>,
+    deaf_until: Micros,
     ticking: bool,
     asked_at: Option<Micros>,
     swept_at: Micros,
@@ -392,15 +394,10 @@
         ((limit - self.link_load(s)) * s.link.cap_kb).min(uplink)
     }
 
-    /// Whether reports may be older than what was handed over: they would tell of empty links.
-    fn handed_just_now(&self) -> bool {
-        self.handed_at.is_some_and(|at| at + REPORT_OLDEST_US > self.now)
-    }
-
     /// Takes a load report that came along with an answer or a probe.
     fn report(&mut self, id: StreamerId, report: LoadReport) {
         let at = self.now.saturating_sub(REPORT_AGE_US);
-        if self.handed_just_now() {
+        if self.now < self.deaf_until {
             return;
         }
         let short = self.streamers.get(&id).is_some_and(|s| s.link.short_within(self.now, FRESH_US));
@@ -452,18 +449,17 @@
 
     fn inbound(&mut self, request: Request, out: &mut Vec<Action>) {
         let (id, class) = (request.id, request.class);
-        if request.beside >= BESIDE_MOST {
+        let proven = self.titles.contains_key(&request.title);
+        let unproven = || self.sessions.values().filter(|s| !s.answered && !self.proven(s)).count();
+        if request.beside >= BESIDE_MOST || (!proven && unproven() >= UNPROVEN_MOST) {
             self.sessions.insert(id, Session { request, ..Session::default() });
-            return self.answer(id, out); // one connection must not crowd out all others
+            return self.answer(id, out); // what is crowded out by one connection, or by what nobody knows
         }
         self.taken.extend(self.set.attempt_budget.map(|_| self.now));
         let known = self.viewers.get(&request.viewer).map(|v| v.1);
         let worth = known.unwrap_or_else(|| self.tenant_worth(request.tenant));
-        if self.titles.contains_key(&request.title) {
+        if proven {
             self.count(&request, worth);
-        } else if self.unproven_out() >= UNPROVEN_MOST {
-            self.sessions.insert(id, Session { request, ..Session::default() });
-            return self.answer(id, out);
         }
         let (rung, deadline) = (self.set.classes[class.0].lowest_rung, self.now + request.left_us);
         let session = Session { request, deadline, rung, changed_at: self.now, worth, ..Session::default() };
@@ -485,14 +481,8 @@
         self.viewers.insert(request.viewer, (self.now, worth));
     }
 
-    /// Set-ups under way of titles that never stood: who asks for what no streamer knows must not fill links.
-    fn unproven_out(&self) -> usize {
-        let unproven = |s: &&Session| !s.answered && !self.proven(s);
-        self.sessions.values().filter(unproven).count()
-    }
-
     fn handed(&mut self, request: Request, streamer: StreamerId) {
-        self.handed_at = Some(self.now);
+        self.deaf_until = self.now + REPORT_OLDEST_US; // reports may be of empty links, from before
         self.probes += PROBES_PER_SESSION;
         let (id, rung) = (request.id, self.set.classes[request.class.0].lowest_rung);
         self.viewers.insert(request.viewer, (self.now, 1.0));
@@ -536,16 +526,47 @@
         });
         let mut ranked: Vec<(f64, StreamerId)> = ranks.collect();
         ranked.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
-        if ranked.first().is_some_and(|r| self.ask_first(id, r.1, out)) {
+        let ranked: Vec<StreamerId> = ranked.into_iter().map(|r| r.1).collect();
+        if ranked.first().is_some_and(|at| self.ask_first(id, *at, out)) {
             return;
         }
         let least = self.set.rate_kb(class, self.set.classes[class.0].lowest_rung);
-        let with_room = ranked.iter().find(|(_, s)| self.room_kb(&self.streamers[s], limit) >= least);
-        let Some(s) = with_room.map(|r| r.1) else { return self.answer(id, out) };
+        let room = ranked.iter().copied().find(|s| self.room_kb(&self.streamers[s], limit) >= least);
+        let Some(s) = room.or_else(|| self.squeeze(id, &ranked, out)) else { return self.answer(id, out) };
         let rung = self.start_rung(&self.sessions[&id], &self.streamers[&s], limit);
         self.send(id, s, rung, out);
     }
 
+    /// [D11] Makes room for one more at its lowest rung by stepping own sessions down, at the first of the
+    /// best streamers where that earns more than it loses.
+    fn squeeze(&mut self, id: RequestId, best: &[StreamerId], out: &mut Vec<Action>) -> Option<StreamerId> {
+        let session = self.sessions.get(&id)?;
+        let limit = if self.own_slot(session) { FULL } else { LENT };
+        let class = &self.set.classes[session.request.class.0];
+        let least = self.set.rate_kb(session.request.class, class.lowest_rung);
+        let gain = self.set.ladder_worth[class.lowest_rung] * class.worth * session.worth * SQUEEZE_GAIN;
+        let (at, down): (_, Vec<_>) = best.iter().take(ASKS).find_map(|at| {
+            let s = &self.streamers[at];
+            let need = least - self.room_kb(s, limit);
+            // What a link lacks is freed on it, what an uplink lacks anywhere on it.
+            let link_full = (limit - self.link_load(s)) * s.link.cap_kb < least;
+            let rack = |s: &Streamer| self.set.rack_of(&s.entry);
+            let here = |o: &&Streamer| o.entry.streamer == *at || (!link_full && rack(o) == rack(s));
+            let steps = self.streamers.values().filter(here).flat_map(|o| self.steps(o, false, SQUEEZED_US));
+            let mut steps: Vec<_> = steps.collect();
+            steps.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.2.cmp(&b.2)));
+            let (mut freed, mut lost) = (0.0, 0.0);
+            steps.retain(|(per_kb, kb, ..)| {
+                let more = freed < need;
+                (freed, lost) = if more { (freed + kb, lost + per_kb * kb) } else { (freed, lost) };
+                more
+            });
+            (freed >= need && lost < gain).then(|| (*at, steps.into_iter().map(|s| s.2).collect()))
+        })?;
+        down.into_iter().for_each(|other| self.rate(other, self.sessions[&other].rung - 1, out));
+        Some(at)
+    }
+
     /// Whether a request can try a barred streamer: a set-up alone shows that it is well again, as one that
     /// stalls answers tests of its load. There must be time left to go elsewhere.
     fn tries(&self, id: RequestId) -> bool {
@@ -558,7 +579,7 @@
     fn ask_first(&mut self, id: RequestId, at: StreamerId, out: &mut Vec<Action>) -> bool {
         let now = self.now;
         let wanted = self.set.probes
-            && !self.handed_just_now()
+            && now >= self.deaf_until
             && self.set.reports != ReportMode::Silent
             && self.probes >= 1.0;
         let (Some(s), Some(session)) = (self.streamers.get_mut(&at), self.sessions.get_mut(&id)) else {
@@ -739,7 +760,7 @@
     fn is_cold(&self, s: &Streamer) -> bool {
         let warm_at = |since: Micros| since.saturating_add(self.set.warm_up_us);
         // After an own restart the list is stale: any streamer may have restarted unseen.
-        let unsure = self.handed_at.is_none() && !s.warm_known && self.now < warm_at(self.born);
+        let unsure = self.deaf_until == 0 && !s.warm_known && self.now < warm_at(self.born);
         unsure || s.cold_since.is_some_and(|since| self.now < warm_at(since))
     }
 
@@ -792,10 +813,7 @@
         let (now, full_from) = (self.now, self.set.full_from);
         match self.streamers.get_mut(&at) {
             // It may come back cold before discovery says so.
-            Some(s) if matches!(outcome, Outcome::Reset | Outcome::ConnectError) => {
-                s.cold_since = Some(now);
-                s.link.seen = s.link.seen.filter(|_| outcome != Outcome::Reset);
-            }
+            Some(s) if matches!(outcome, Outcome::Reset | Outcome::ConnectError) => s.cold_since = Some(now),
             Some(s) if outcome == Outcome::QueueFull && full_from > 0.0 => {
                 s.link.observe(now, s.link.seen.map_or(0.0, |x| x.1).max(full_from), BELIEF);
             }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -3,6 +3,10 @@
 use common::*;
 use stonewharf::*;
 
+fn class_of(worth: f64) -> Class {
+    class(worth, Effect::Idempotent)
+}
+
 fn idempotent() -> Vec<Class> {
     vec![class(1.0, Effect::Idempotent)]
 }
@@ -247,6 +251,29 @@
     assert!(again, "suspicion fades");
 }
 
+/// Requests were refused for want of room beside sessions on high rungs. One step down there frees several
+/// sessions' worth of the lowest rate; where it earns less than it loses nothing is stepped.
+#[test]
+fn a_request_without_room_steps_a_dearer_rung_down_where_that_earns_more() {
+    let asked = |class: usize| {
+        let classes = vec![class_of(1.0), class_of(0.1)];
+        let (weight_kb, fleet_kb, rack_kb) = (850.0, 3400.0, 3400.0);
+        let mut b = Bench::new(Settings { weight_kb, fleet_kb, rack_kb, ..settings(classes) });
+        b.prove_titles();
+        for id in 1..=4 {
+            b.give(Event::Preexisting(request(id, 0), StreamerId(id as u32 - 1)));
+            b.note(id, StreamerId(id as u32 - 1), NoteKind::Rung, 3.0);
+        }
+        b.now += 4 * S;
+        b.ask(request(50, class))
+    };
+    let out = asked(0);
+    let down = |a: &Action| matches!(a, Action::Rate { request, rung: 2 } if request.0 <= 4);
+    assert!(sent(&out).is_some() && out.iter().filter(|a| down(a)).count() == 1, "{out:?}");
+    let out = asked(1);
+    assert!(refused(&out) && rated(&out) == 0, "{out:?}");
+}
+
 /// Reports made before the sessions of a handover were there told of empty links: the rack that was asked first
 /// was flooded in the first two seconds and delivered short.
 #[test]
