Spoilt answers bar nobody; what has gone leaves nothing behind

By reading: names of streamers, their entries in module and ledger, and far deadlines of viewers with absurd waits were kept for good.

At fault: streamers.rs down() told the core of a reset whatever the cause; rules.rs ended() takes a reset for a restart; settings.rs Names, rules.rs list() and ledger.rs list() never dropped anything.

Now such attempts end as Garbled (may have run: a paid one fails; little evidence, no cold start); names and states of streamers that are gone are dropped, ids not given out twice; a wait is ten longest deadlines at most.

--- a/src/director/counters.rs
+++ b/src/director/counters.rs
@@ -57,6 +57,8 @@
     no_connection,
     /// Attempts that broke under way.
     broken,
+    /// Attempts whose connection brought what can't be read.
+    spoilt,
     /// Attempts withdrawn before a byte of them was sent.
     withdrawn,
     /// Answers that came after their attempt was given up.
--- a/src/director/ledger.rs
+++ b/src/director/ledger.rs
@@ -151,6 +151,10 @@
                 out.counters.broken += 1;
                 self.own_attempt_over(attempt, Some(Outcome::Reset), out);
             }
+            Input::Spoilt(attempt) => {
+                out.counters.spoilt += 1;
+                self.own_attempt_over(attempt, Some(Outcome::Garbled), out);
+            }
             Input::Released { streamer, session, number, why, description, report } => {
                 if why == Over::Ended && !description.is_empty() {
                     self.began_and_ended(session, number, streamer, description, report, out);
@@ -257,6 +261,7 @@
             self.fleet.clear();
         }
         self.fleet.extend(entries.iter().map(|e| (e.streamer, e.standing)));
+        self.fleet.retain(|_, standing| *standing != Standing::Gone);
         let gone = |s: &StreamerId| self.fleet.get(s).is_none_or(|s| *s == Standing::Gone);
         let gone: Vec<_> = self.standing_at.keys().copied().filter(gone).collect();
         let starts: Vec<_> = entries.iter().filter_map(|e| Some((e.streamer, e.started_at?))).collect();
--- a/src/director/messages.rs
+++ b/src/director/messages.rs
@@ -125,6 +125,8 @@
     GaveUp(Attempt),
     /// The connection broke on which this attempt was out.
     Broken(Attempt),
+    /// The connection on which this attempt was out had to be closed: what came on it can't be read.
+    Spoilt(Attempt),
     /// A streamer released a session.
     Released {
         /// Which streamer.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -372,6 +372,8 @@
     ConnectError,
     /// The connection broke; it may have run.
     Reset,
+    /// The connection had to be closed on what could not be read; it may have run.
+    Garbled,
     /// Called off; it may have run.
     Canceled,
     /// Never sent.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -10,7 +10,7 @@
 mod viewers;
 
 use crate::director::{Counters, Deed, Director, Input, Over, Parcel, ViewerLink};
-use crate::interface::{ListScope, Micros, RequestId, SettingsError, StreamerId};
+use crate::interface::{ListScope, Micros, RequestId, SettingsError, Standing, StreamerId};
 use crate::platform::bulletin::Notice;
 use crate::platform::config::{Config, ConfigError};
 use crate::platform::rtsp;
@@ -34,6 +34,8 @@
 const GRACE_MORE_US: Micros = 600_000;
 /// Rounds of core and transport in one turn; what is left then is taken up in the next.
 const ROUNDS: usize = 16;
+/// Times the longest deadline that a viewer's own may be, so that none is kept for ever.
+const WAIT_MOST: Micros = 10;
 /// Descriptors that are neither viewers' nor streamers': standard streams, poller, signals, bulletin, spare.
 const OWN_DESCRIPTORS: usize = 24;
 
@@ -274,7 +276,8 @@
         let id = RequestId(set_up.session);
         let class = self.names.class(&set_up.class);
         let usual = class.ok().and_then(|c| self.carriage.deadlines_us.get(c.0)).copied();
-        let wait_us = set_up.wait_ms.map(|ms| ms.saturating_mul(1000)).or(usual).unwrap_or(0);
+        let most = self.carriage.longest_us().saturating_mul(WAIT_MOST);
+        let wait_us = set_up.wait_ms.map(|ms| ms.saturating_mul(1000)).or(usual).unwrap_or(0).min(most);
         let wanted = Wanted {
             id: set_up.session,
             class: &set_up.class,
@@ -322,6 +325,9 @@
             scope => scope,
         };
         self.streamers.list(&mut self.shared, scope, &entries);
+        for (entry, _) in entries.iter().filter(|e| e.0.standing == Standing::Gone) {
+            self.names.streamers.forget(entry.streamer.0);
+        }
         let entries = entries.into_iter().map(|e| e.0).collect();
         self.shared.inputs.push(Input::List { scope, entries });
     }
--- a/src/net/streamers.rs
+++ b/src/net/streamers.rs
@@ -62,6 +62,8 @@
     tests: BTreeSet<RequestId>,
     used_at: Micros,
     heard_at: Micros,
+    /// Something came on it that can't be read.
+    spoilt: bool,
 }
 
 /// What is known of a streamer's address and of the way to it.
@@ -346,6 +348,7 @@
             tests: BTreeSet::new(),
             used_at: shared.now,
             heard_at: 0,
+            spoilt: false,
         };
         self.links.insert(token, link);
         shared.counters.streamer_connections += 1;
@@ -422,6 +425,7 @@
             shared.counters.malformed += 1;
             let streamer = link.streamer.0;
             warn!(shared.log, "malformed message, connection closed: {why}"; "streamer" => streamer);
+            link.spoilt = true;
             return self.down(shared, token);
         }
         match got {
@@ -484,7 +488,11 @@
         for (session, (number, left)) in &link.open {
             let attempt = Attempt { session: *session, number: *number };
             let unsent = Input::Unsent(attempt, Unsent::NoConnection);
-            shared.inputs.push(if *left { Input::Broken(attempt) } else { unsent });
+            shared.inputs.push(match *left {
+                true if link.spoilt => Input::Spoilt(attempt),
+                true => Input::Broken(attempt),
+                false => unsent,
+            });
         }
         let outcome = if link.up { Outcome::Reset } else { Outcome::ConnectError };
         for _ in &link.tests {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -807,6 +807,7 @@
             Outcome::TimedOut => (1.0, "set-up timed out"),
             Outcome::ConnectError => (2.0, "no connection"),
             Outcome::Reset => (1.5, "connection reset"),
+            Outcome::Garbled => (0.5, "answers that can't be read"),
             _ => (0.0, ""),
         };
         self.judge(at, evidence, why, out);
@@ -1015,10 +1016,9 @@
             let counts =
                 self.meters.iter_mut().flat_map(|m| [&mut m.arrivals, &mut m.ended, &mut m.watched_s]);
             counts.chain([&mut self.counted_s]).for_each(|count| *count *= FADE);
-            let since = now.saturating_sub(6 * CHOOSE_US);
-            self.viewers.retain(|_, v| v.0 > since);
-            let since = now.saturating_sub(TITLE_US);
-            self.titles.retain(|_, at| *at > since);
+            self.viewers.retain(|_, v| v.0 + 6 * CHOOSE_US > now);
+            self.titles.retain(|_, at| *at + TITLE_US > now);
+            self.streamers.retain(|_, s| s.entry.standing != Standing::Gone || !s.sessions.is_empty());
         }
     }
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -125,11 +125,12 @@
     how: String,
 }
 
-/// Strings as small numbers, in order of first sight.
+/// Strings as small numbers, in order of first sight; no number is given out twice.
 #[derive(Default)]
 pub struct Names {
     by_name: HashMap<String, u32>,
-    names: Vec<String>,
+    names: HashMap<u32, String>,
+    next: u32,
 }
 
 impl Names {
@@ -138,12 +139,20 @@
         if let Some(&id) = self.by_name.get(name) {
             return id;
         }
-        let id = self.names.len() as u32;
+        let id = self.next;
+        self.next += 1;
         self.by_name.insert(name.to_owned(), id);
-        self.names.push(name.to_owned());
+        self.names.insert(id, name.to_owned());
         id
     }
 
+    /// Drops a name that is not to come again; should it come, it is a new one.
+    pub fn forget(&mut self, id: u32) {
+        if let Some(name) = self.names.remove(&id) {
+            self.by_name.remove(&name);
+        }
+    }
+
     /// The number of a name that was met before.
     pub fn known(&self, name: &str) -> Option<u32> {
         self.by_name.get(name).copied()
@@ -151,7 +160,7 @@
 
     /// The name of a number.
     pub fn name(&self, id: u32) -> Option<&str> {
-        self.names.get(id as usize).map(String::as_str)
+        self.names.get(&id).map(String::as_str)
     }
 }
 
--- a/tests/ledger.rs
+++ b/tests/ledger.rs
@@ -293,6 +293,34 @@
     assert!((256..300).all(|id| refused.contains(&id)), "{refused:?}");
 }
 
+/// One answer that could not be read was taken for a restart: its streamer was barred and, as if cold, had next
+/// to nothing for its warm-up. The attempt may have run, so a paid viewer is told that it failed.
+#[test]
+fn a_spoilt_answer_fails_its_attempt_and_bars_nobody() {
+    let (mut d, now) = ready();
+    let (streamer, attempt, _) = sent(&turn(&mut d, now, wanted(1, 0))).expect("a set-up");
+    assert_eq!(turn(&mut d, now, Input::Spoilt(attempt)), [Deed::Fail(LINK, attempt.session)]);
+    let again = (2..40).any(|id| {
+        let set_up = sent(&turn(&mut d, now, wanted(id, 0)));
+        set_up.is_some_and(|(at, attempt, _)| {
+            turn(&mut d, now, stands(at, attempt, Some(0)));
+            at == streamer
+        })
+    });
+    assert!(again, "it is used as before");
+}
+
+/// Streamers come and go under new names for as long as the director runs: a table of all that were ever
+/// seen would grow without end. A number is not given out twice.
+#[test]
+fn a_name_that_is_gone_is_dropped_for_good() {
+    let mut names = settings::Names::default();
+    let ids: Vec<u32> = ["a", "b"].iter().map(|n| names.id(n)).collect();
+    names.forget(ids[0]);
+    assert_eq!((names.known("a"), names.name(ids[0]), names.known("b")), (None, None, Some(ids[1])));
+    assert!(!ids.contains(&names.id("a")));
+}
+
 /// A give-up and a late answer cross: the session is released at its streamer, its viewer hears nothing more.
 #[test]
 fn a_late_answer_is_released_and_not_passed_on() {
