Don't close connections that were never read to make room for a crowd

By reading, and by a test with a stopped process: where hundreds connect at once accept() made room by closing what it had taken in the same turn and never read. At fault: viewers.rs make_room(), which put silent ones first whatever their age.

Now a connection has 0.1 s to bring its first bytes; until one can make room the rest waits in the backlog.

--- a/src/net/viewers.rs
+++ b/src/net/viewers.rs
@@ -17,8 +17,10 @@
 const ACCEPT_MOST: usize = 128;
 /// A viewers' connection that does not read is closed from so many unwritten bytes.
 const UNWRITTEN_MOST: usize = 128 * 1024;
-/// Pause of the listener when no descriptor is left.
-const ACCEPT_PAUSE_US: Micros = 50_000;
+/// Pause of the listener when no descriptor is left, or no connection can make room yet.
+const ACCEPT_PAUSE_US: Micros = 20_000;
+/// A connection has so long to bring its first bytes before it may make room for another.
+const FIRST_US: Micros = 100_000;
 /// By then a connection has said something that is answered, or is closed; the same holds for the rest of a
 /// message that has begun.
 const SILENT_US: Micros = 1_500_000;
@@ -86,17 +88,14 @@
     /// Takes the connections that wait. A full table makes room for them.
     pub fn accept(&mut self, shared: &mut Shared, director: &Director) {
         for _ in 0..ACCEPT_MOST {
+            if self.callers.len() >= self.most && !self.make_room(shared, director) {
+                return self.pause(shared); // the backlog keeps them
+            }
             match self.listener.source().accept() {
-                Ok((stream, _)) => {
-                    if self.callers.len() >= self.most && !self.make_room(shared, director) {
-                        shared.counters.viewers_shed += 1;
-                        continue; // all others wait for answers
-                    }
-                    match Line::accepted(&mut shared.poll, stream) {
-                        Ok(line) => self.take(shared, line),
-                        Err(why) => warn!(shared.log, "a connection from viewers could not be set up: {why}"),
-                    }
-                }
+                Ok((stream, _)) => match Line::accepted(&mut shared.poll, stream) {
+                    Ok(line) => self.take(shared, line),
+                    Err(why) => warn!(shared.log, "a connection from viewers could not be set up: {why}"),
+                },
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
                 Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
@@ -129,12 +128,13 @@
         self.deliver_kept(shared);
     }
 
-    /// Closes a connection on which no request waits: best one that has said nothing, then one on which no
+    /// Closes a connection on which no request waits, if it had its time to bring one: best one on which no
     /// session ever stood, the longest unheard of first.
     fn make_room(&mut self, shared: &mut Shared, director: &Director) -> bool {
         let free = |t: &Token| director.on_link(ViewerLink(*t)).0 == 0;
-        let unheard = self.callers.iter().filter(|(t, _)| free(t));
-        let least = unheard.min_by_key(|(_, c)| (c.stood, c.answered, c.heard_at)).map(|(t, _)| *t);
+        let read = |c: &Caller| c.answered || c.since.saturating_add(FIRST_US) <= shared.now;
+        let free = self.callers.iter().filter(|(t, c)| read(c) && free(t));
+        let least = free.min_by_key(|(_, c)| (c.stood, c.heard_at)).map(|(t, _)| *t);
         least.inspect(|token| self.shed(shared, *token)).is_some()
     }
 
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -263,6 +263,20 @@
     assert!(answers > 1);
 }
 
+/// Where hundreds connected at once, a full table closed connections that it had just taken and never read,
+/// with viewers' set-ups on them.
+#[test]
+fn a_crowd_does_not_push_out_what_was_never_read() {
+    let rig = Rig::start();
+    rig.signal("-STOP"); // all of them wait when it goes on
+    let mut good = rig.viewer();
+    good.write_all(&message(52, 11, &[(58, &[0])])).expect("written");
+    let crowd: Vec<_> = (0..100).map(|_| rig.viewer()).collect();
+    rig.signal("-CONT");
+    assert_eq!(hear(&mut good), (53, 11, vec![58, 0, 1, 1]));
+    drop(crowd);
+}
+
 /// The bulletin is asked for what comes after the last event known, again where it broke off; a streamer that
 /// drains gets no set-up from then on.
 #[test]
