After an own restart ask streamers for their load: a loaded one is warm

The logs: sessions cut with the old process come back to a director that has just started.

At fault: rules.rs is_cold(): without a handover every streamer counted as cold for a whole warm-up.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -42,6 +42,7 @@
 const ASKS: usize = 2; // streamers asked before a set-up at most: the power of two choices
 const LOOK: f64 = 0.1; // chance to look around in a sweep: controllers must not all ask at once
 const ASKERS: f64 = 10.0; // controllers to one that asks while a step does not yet show
+const WARM_LOAD: f64 = 0.2; // use of a link from which a streamer can't have started just now
 const TENANT_S: f64 = 15.0; // seconds over which a tenant's arrivals are set against its quota
 const TENANT_SURE: f64 = 3.0; // arrivals as good as the belief that a tenant keeps to its share
 const LEAST_LEFT_US: Micros = 30_000; // less of the viewer's time than this is not worth a further attempt
@@ -284,8 +285,7 @@
             streams += self.set.streams_of(&s.entry);
         }
         let kb: f64 = links.iter().map(|(r, kb)| kb.min(self.racks.get(r).map_or(*kb, |g| g.cap_kb))).sum();
-        // The split is chosen for the whole fleet, from this controller's part of its load; its pools are its
-        // part of that. A fraction of a slot is one with that chance, so that all together have them all.
+        // The split is the whole fleet's; a fraction of a slot is one with that chance, so none is lost.
         let slots = (kb * SLOT_MARGIN / self.slot_kb / self.elastic()).min(streams).clamp(0.0, 1e5) as usize;
         let arrivals: f64 = self.meters.iter().map(|m| m.arrivals).sum();
         let n = f64::from(self.set.controllers);
@@ -368,7 +368,7 @@
         self.held.iter().sum::<usize>() as f64
     }
 
-    /// Takes what was told of a link (0) or its uplink (1), if not absurd: into its account and the mean.
+    /// Takes what was told of a link (0) or its uplink (1), if not absurd.
     fn hear(&mut self, id: StreamerId, which: usize, at: Micros, ratio: f64) {
         let Some(s) = self.streamers.get_mut(&id).filter(|_| (0.0..=50.0).contains(&ratio)) else { return };
         let uplink = self.racks.get_mut(&self.set.rack_of(&s.entry));
@@ -401,8 +401,9 @@
             return;
         }
         let short = self.streamers.get(&id).is_some_and(|s| s.link.short_within(self.now, FRESH_US));
-        // A capped report says 1 for any overload; a note of short delivery tells more.
         let link = report.link.or(report.link_capped.filter(|x| *x < 0.98 || !short));
+        // One that has just started holds next to nothing.
+        self.streamers.entry(id).and_modify(|s| s.warm_known |= link.is_some_and(|x| x >= WARM_LOAD));
         link.into_iter().for_each(|x| self.hear(id, 0, at, x));
         report.uplink.into_iter().for_each(|x| self.hear(id, 1, at, x));
     }
@@ -494,8 +495,7 @@
         self.streamers.entry(streamer).and_modify(|s| s.warm_known = true);
     }
 
-    /// [D7] What a tenant's request is worth: which is past the share can't be told here, only how much of
-    /// all traffic is, from own counts against this controller's part of the quota.
+    /// [D7] What a tenant's request is worth, by how much of its traffic is past this controller's part.
     fn tenant_worth(&mut self, tenant: Option<TenantId>) -> f64 {
         let Some(t) = tenant.map(|t| t.0).filter(|t| *t < self.tenants.len()) else { return 1.0 };
         self.tenants[t] += 1.0;
@@ -567,8 +567,7 @@
         Some(at)
     }
 
-    /// Whether a request can try a barred streamer: a set-up alone shows that it is well again, as one that
-    /// stalls answers tests of its load. There must be time left to go elsewhere.
+    /// Whether a request can try a barred streamer (load tests clear none) and still go elsewhere in time.
     fn tries(&self, id: RequestId) -> bool {
         let Some(session) = self.sessions.get(&id) else { return false };
         let class = &self.set.classes[session.request.class.0];
@@ -597,15 +596,13 @@
         true
     }
 
-    /// Decides requests that waited for a probe.
     fn decide_waiting(&mut self, due: impl Fn(&(StreamerId, Micros)) -> bool, out: &mut Vec<Action>) {
         let waits = |s: &Session| s.streamer.is_none() && !s.answered && s.asked.as_ref().is_some_and(&due);
         let ids: Vec<_> = self.sessions.iter().filter(|(_, s)| waits(s)).map(|(id, _)| *id).collect();
         ids.into_iter().for_each(|id| self.attempt_again(id, out));
     }
 
-    /// Where nothing else tells load, asks after room for own sessions that could step up, longest unheard
-    /// first; not where links are full on the whole.
+    /// Where nothing else tells load, asks after room to step up, longest unheard first.
     fn look_around(&mut self, out: &mut Vec<Action>) {
         let now = self.now;
         let room = self.told.iter().all(|t| t.1 < RAISE) && self.chance() < LOOK;
@@ -622,7 +619,6 @@
         }
     }
 
-    /// What speaks against a streamer for this session, in parts of a link.
     fn cost(&self, session: &Session, s: &Streamer) -> f64 {
         let rate = self.set.rate_kb(session.request.class, session.rung);
         let rack = self.set.rack_of(&s.entry);
@@ -698,8 +694,7 @@
         }
     }
 
-    /// Steps own sessions of a rack, or of one streamer there, a rung up (down) until about `kb` a second are
-    /// taken (freed): best gain (or least loss) of worth for its rate first.
+    /// Steps own sessions of a rack, or a streamer, a rung up (down) for about `kb`, best worth for it first.
     fn step(&mut self, up: bool, rack: u32, only: Option<StreamerId>, mut kb: f64, out: &mut Vec<Action>) {
         let (now, gauge) = (self.now, &self.racks[&rack]);
         let mut steps = Vec::new();
@@ -728,8 +723,7 @@
         link.or(self.racks.get_mut(&rack)).filter(|_| any).into_iter().for_each(|g| g.stepped_at = now);
     }
 
-    /// Whether this controller takes a whole step of a common action of which `share` is its part: under one
-    /// step with that probability, so that all together take about the right amount (randomised rounding).
+    /// Whether it takes a whole step where its part is `share` (randomised rounding under one step).
     fn takes(&mut self, step: f64, share: f64) -> bool {
         share > 0.0 && (share >= step || self.chance() * step < share)
     }
@@ -741,9 +735,8 @@
         s.suspicion * (-age / HALF_LIFE_S * std::f64::consts::LN_2).exp()
     }
 
-    /// Adds evidence against a streamer (or for it, below zero). One measure serves failures, time-outs,
-    /// resets and dead probes, so a trouble on no list that shows so is covered. May do harm where
-    /// all are struck alike; then none has an edge and trials go on.
+    /// Adds evidence against a streamer (or for it, below zero). One measure serves all signs, so a trouble
+    /// on no list that shows so is covered. Where all are struck alike none has an edge; trials go on.
     fn judge(&mut self, id: StreamerId, evidence: f64, why: &str, out: &mut Vec<Action>) {
         let Some(s) = self.streamers.get(&id) else { return };
         let before = self.suspicion(s);
@@ -756,7 +749,7 @@
         s.trial_at = if after >= BARRED && evidence > 0.0 { self.now + TRIAL_US } else { s.trial_at };
     }
 
-    /// A restart that is told, or inferred from a reset or silence: its pace is limited until it is warm.
+    /// After a restart, told or inferred from a reset or silence, its pace is limited until it is warm.
     fn is_cold(&self, s: &Streamer) -> bool {
         let warm_at = |since: Micros| since.saturating_add(self.set.warm_up_us);
         // After an own restart the list is stale: any streamer may have restarted unseen.
@@ -764,8 +757,8 @@
         unsure || s.cold_since.is_some_and(|since| self.now < warm_at(since))
     }
 
-    /// Whether this controller may send a cold streamer a set-up now. Turns are cut from the common clock of
-    /// its start, one set-up a turn and every turn one controller's, so that all together stay in the pace.
+    /// Whether a cold streamer may have a set-up now. Turns are cut from the common clock, one set-up a turn
+    /// and every turn one controller's, so that all together stay in the pace.
     fn cold_turn(&self, s: &Streamer) -> Option<u64> {
         let warm_up_s = (self.set.warm_up_us as f64 / SECOND).max(1e-3);
         let pace = self.set.fall_multiple * self.set.streams_of(&s.entry) / warm_up_s
@@ -949,7 +942,7 @@
 
     // ---- Bookkeeping --------------------------------------------------------------------------------------
 
-    /// Moves a session's rate, seat and slot to a streamer, or away from the one that has it.
+    /// Moves a session's rate, seat and slot to a streamer, or away.
     fn place(&mut self, id: RequestId, at: Option<StreamerId>) {
         let Some(session) = self.sessions.get(&id) else { return };
         let (class, seat) = (session.request.class, (session.request.title, session.request.class));
@@ -991,7 +984,6 @@
         }
     }
 
-    /// The periodic look at everything: counts, quotas, rungs, probes, and the split when due.
     fn sweep(&mut self, out: &mut Vec<Action>) {
         out.push(Action::Timer { after_us: SWEEP_US, tag: SWEEP });
         let now = self.now;
@@ -1010,6 +1002,14 @@
         self.adjust_rungs(out);
         self.decide_waiting(|asked| asked.1 + 2 * SWEEP_US <= now, out); // a probe lost must not hold it
         self.look_around(out);
+        let after = self.born + SWEEP_US..self.born + self.set.warm_up_us; // by then a handover has come
+        let unsure = self.set.probes && self.deaf_until == 0 && after.contains(&now);
+        let cold = |s: &&mut Streamer| !s.warm_known && !s.probe_out && s.probed_at + SECOND as Micros <= now;
+        let up = self.streamers.values_mut().filter(|s| unsure && s.entry.standing == Standing::Up);
+        for s in up.filter(cold) {
+            (s.probed_at, s.probe_out) = (now, true);
+            out.push(Action::Probe(s.entry.streamer));
+        }
         if now >= self.chosen_at + CHOOSE_US {
             self.chosen_at = now;
             self.choose(out);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -274,6 +274,26 @@
     assert!(refused(&out) && rated(&out) == 0, "{out:?}");
 }
 
+/// A director that had restarted under load took every streamer for cold through a whole warm-up and refused
+/// most of the viewers that came back. A load that takes minutes to come shows that a streamer is warm.
+#[test]
+fn after_an_own_restart_a_loaded_streamer_is_known_to_be_warm() {
+    let set = Settings { probes: true, reports: ReportMode::ProbeOnly, ..settings(idempotent()) };
+    let (mut b, _) = Bench::at_start(set, 1);
+    let asked = b.sweep(S + 250_000).iter().filter(|a| matches!(a, Action::Probe(_))).count();
+    assert!(asked >= 3, "all are asked at once, not {asked}");
+    let sent_after = |b: &mut Bench, ids: std::ops::Range<u64>| {
+        ids.filter(|id| sent(&b.ask(Request { left_us: S / 2, max_rung: 0, ..request(*id, 0) })).is_some())
+            .count()
+    };
+    let before = sent_after(&mut b, 100..112);
+    let report = LoadReport { link: Some(0.4), uplink: Some(0.4), ..LoadReport::default() };
+    for at in 0..4 {
+        b.give(Event::Probed { streamer: StreamerId(at), outcome: Outcome::Ok, report });
+    }
+    assert_eq!((before < 5, sent_after(&mut b, 200..212)), (true, 12), "{before} of 12 before");
+}
+
 /// Reports made before the sessions of a handover were there told of empty links: the rack that was asked first
 /// was flooded in the first two seconds and delivered short.
 #[test]
