--- a/src/rules.rs
+++ b/src/rules.rs
@@ -39,6 +39,7 @@
 const SUSPECT_COST: f64 = 0.5; // suspicion 1 weighs as much as so much of a link in use
 const COLD_PACE: f64 = 0.7; // part of the cold pace used: the rest is for chance and lateness
 const PROBES_PER_SESSION: f64 = 1.5; // probes a session earns: for its set-up and for steps up
+const PROBE_WORTH: f64 = 0.04; // part of a session's worth that a probe brings at most: dearer ones never pay
 const ASKS: usize = 2; // streamers asked before a set-up at most: the power of two choices
 const LOOK: f64 = 0.1; // chance to look around in a sweep: controllers must not all ask at once
 const ASKERS: f64 = 10.0; // controllers to one that asks while a step does not yet show
@@ -232,6 +233,7 @@
         settings.check()?;
         let (classes, ladder) = (settings.classes.len(), &settings.ladder_kb);
         let n = f64::from(settings.controllers);
+        let pays = settings.reports != ReportMode::Silent && settings.probe_price < PROBE_WORTH;
         Ok(Controller {
             rng: Some(ChaCha8Rng::seed_from_u64(seed)),
             born: now,
@@ -244,7 +246,7 @@
             probes: PROBES_PER_SESSION, // on credit, until a session stands
             tenants: settings.tenants.iter().map(|t| t.quota_per_s * TENANT_S / n).collect(),
             slot_kb: (ladder[0] * ladder[ladder.len() - 1]).sqrt(),
-            set: settings,
+            set: Settings { probes: settings.probes && pays, ..settings },
             ..Controller::default()
         })
     }
@@ -577,10 +579,7 @@
     /// Asks the streamer about to be chosen for its load [D8], unless heard of just now; then the next best.
     fn ask_first(&mut self, id: RequestId, at: StreamerId, out: &mut Vec<Action>) -> bool {
         let now = self.now;
-        let wanted = self.set.probes
-            && now >= self.deaf_until
-            && self.set.reports != ReportMode::Silent
-            && self.probes >= 1.0;
+        let wanted = self.set.probes && now >= self.deaf_until && self.probes >= 1.0;
         let (Some(s), Some(session)) = (self.streamers.get_mut(&at), self.sessions.get_mut(&id)) else {
             return false;
         };
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -294,6 +294,19 @@
     assert_eq!((before < 5, sent_after(&mut b, 200..212)), (true, 12), "{before} of 12 before");
 }
 
+/// At 8 points of a session's worth a probe, a hundred controllers that each asked at a session or two a second
+/// paid 0.09 of the result and gained nothing.
+#[test]
+fn probes_that_cost_more_than_they_bring_are_not_sent() {
+    let asked = |probe_price| {
+        let set = Settings { probes: true, reports: ReportMode::ProbeOnly, probe_price, ..one_of(0, 100) };
+        let mut b = Bench::new(set);
+        let out: Vec<_> = (0..10).flat_map(|id| [b.ask(request(id, 0)), b.sweep(S)].concat()).collect();
+        out.iter().filter(|a| matches!(a, Action::Probe(_))).count()
+    };
+    assert_eq!((asked(0.01) > 0, asked(0.08)), (true, 0));
+}
+
 /// Reports made before the sessions of a handover were there told of empty links: the rack that was asked first
 /// was flooded in the first two seconds and delivered short.
 #[test]
