--- a/src/interface.rs
+++ b/src/interface.rs
@@ -185,6 +185,10 @@
     pub cross_zone_price: f64,
     /// Price of one probe, as a part of a session's worth.
     pub probe_price: f64,
+    /// Price of a new connection, as a part of a session's worth.
+    pub handshake_price: f64,
+    /// For so long after a set-up its connection takes further ones.
+    pub keep_us: Micros,
     /// Price of a moved session, as a part of a session's worth.
     pub move_price: f64,
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -22,6 +22,7 @@
 //!     max_attempts: 4, max_hold_off_us: 2_000_000, cold_from: 0.5, warm_up_us: 10_000_000,
 //!     fall_multiple: 2.0, discovery_on_request: false, ask_within_us: 10_000_000, attempt_budget: None,
 //!     my_zone: ZoneId(0), cross_zone_price: 0.0, probe_price: 0.0, move_price: 0.2,
+//!     handshake_price: 0.0, keep_us: 9_000_000,
 //! };
 //! let mut controller = Controller::new(settings, 7, 0)?;
 //! let mut actions = Vec::new();
--- a/src/net/streamers.rs
+++ b/src/net/streamers.rs
@@ -60,6 +60,8 @@
     open: BTreeMap<RequestId, (u32, bool)>,
     given_up: BTreeSet<RequestId>,
     tests: BTreeSet<RequestId>,
+    /// It has carried a set-up.
+    carried: bool,
     used_at: Micros,
     heard_at: Micros,
     /// Something came on it that can't be read.
@@ -183,7 +185,7 @@
             Err(why) => return shared.inputs.push(Input::Unsent(attempt, why)),
         };
         if let Some(link) = self.links.get_mut(&token) {
-            link.used_at = shared.now;
+            (link.used_at, link.carried) = (shared.now, true);
             link.open.insert(session, (attempt.number, false));
             link.queue.push_back(Saying::SetUp { attempt, rung, until, parcel });
         }
@@ -291,9 +293,11 @@
         session: Option<RequestId>,
     ) -> Result<Token, Unsent> {
         let pool = self.pools.get(&streamer).ok_or(Unsent::Withdrawn)?;
+        // Where new connections have a price, one is used as long as nothing speaks against its streamer.
+        let trusted = self.carriage.handshake_price > 0.0 && pool.failing_since.is_none();
         let fits = |l: &&Link| {
-            let lately = l.used_at.saturating_add(self.carriage.idle_us / 5 * 3) > shared.now;
-            let heard = l.heard_at.saturating_add(HEARD_US) > shared.now;
+            let lately = l.used_at.saturating_add(self.carriage.keep_us()) > shared.now;
+            let heard = trusted || l.heard_at.saturating_add(HEARD_US) > shared.now;
             let apart = session.is_none_or(|s| !l.given_up.contains(&s) && !l.open.contains_key(&s));
             let room = l.open.len() < self.carriage.set_ups
                 && l.queue.len() < QUEUE_MOST
@@ -301,7 +305,7 @@
             apart && room && (!l.up || (lately && heard))
         };
         let links = pool.links.iter().filter_map(|t| self.links.get(t)).filter(fits);
-        match links.max_by_key(|l| (l.up, l.heard_at)).map(|l| l.line.token()) {
+        match links.max_by_key(|l| (l.up, l.carried, l.heard_at)).map(|l| l.line.token()) {
             Some(token) => Ok(token),
             None => self.dial(shared, streamer),
         }
@@ -346,6 +350,7 @@
             open: BTreeMap::new(),
             given_up: BTreeSet::new(),
             tests: BTreeSet::new(),
+            carried: false,
             used_at: shared.now,
             heard_at: 0,
             spoilt: false,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -175,6 +175,7 @@
     cold_turn: Option<u64>,
     warm_known: bool,
     probe_out: bool,
+    linked_until: Micros,
     probed_at: Micros,
     sessions: BTreeSet<RequestId>,
 }
@@ -362,7 +363,7 @@
         let scarce_kb = all_kb[0].min(all_kb[1]).max(1.0);
         let mean = (self.own_kb * n / scarce_kb + told.0 * told.1) / (1.0 + told.0);
         let expected = self.own_sessions() * g.cap_kb / all_kb[which].max(1.0);
-        let more = (UNEVEN + g.own as f64) / (UNEVEN + expected);
+        let more = (UNEVEN.max(n) + g.own as f64) / (UNEVEN.max(n) + expected);
         mean * more * (1.0 - 1.0 / n) + g.own_kb / g.cap_kb
     }
 
@@ -625,7 +626,8 @@
         let link = self.link_load(s) + rate / s.link.cap_kb;
         let away = if s.entry.zone == self.set.my_zone { 0.0 } else { self.set.cross_zone_price };
         let again = if session.tried.contains(&s.entry.streamer) { 1.0 } else { 0.0 };
-        link.max(uplink) + SUSPECT_COST * self.suspicion(s) + again + away
+        let fresh = if self.now < s.linked_until { 0.0 } else { self.set.handshake_price };
+        link.max(uplink) + SUSPECT_COST * self.suspicion(s) + again + away + fresh
     }
 
     /// The highest rung with room, but no more than the fair rate [D5]: what own sessions play at, as if this
@@ -671,11 +673,10 @@
         let part = |g: &Gauge, load: f64| (g.own_kb / (load * g.cap_kb).max(1.0)).min(1.0);
         let excess = |g: &Gauge, load: f64| (load - SETTLE) * g.cap_kb * part(g, load);
         let news = |g: &Gauge| g.seen.is_none_or(|s| s.0 > g.stepped_at);
-        let own = self.streamers.iter().filter(|(_, s)| !s.sessions.is_empty());
-        let own: Vec<StreamerId> = own.map(|(id, _)| *id).collect();
-        for id in own {
+        let all: Vec<StreamerId> = self.streamers.keys().copied().collect();
+        for id in all {
             let (s, load) = (&self.streamers[&id], self.link_load(&self.streamers[&id]));
-            if load > SHORT && s.link.fresh(now) && news(&s.link) {
+            if s.link.own > 0 && load > SHORT && s.link.fresh(now) && news(&s.link) {
                 self.step(false, self.set.rack_of(&s.entry), Some(id), excess(&s.link, load), out);
             }
         }
@@ -893,6 +894,7 @@
             return;
         };
         (s.cold_turn, s.trial_at) = (turn.or(s.cold_turn), s.trial_at.max(now + TRIAL_US));
+        s.linked_until = now + self.set.keep_us;
         let class = &self.set.classes[session.request.class.0];
         let left = session.deadline.saturating_sub(now);
         // One that can be sent again gets its answer in time for a second attempt within the usual bound.
@@ -1012,9 +1014,8 @@
         if now >= self.chosen_at + CHOOSE_US {
             self.chosen_at = now;
             self.choose(out);
-            let counts =
-                self.meters.iter_mut().flat_map(|m| [&mut m.arrivals, &mut m.ended, &mut m.watched_s]);
-            counts.chain([&mut self.counted_s]).for_each(|count| *count *= FADE);
+            let all = self.meters.iter_mut().flat_map(|m| [&mut m.arrivals, &mut m.ended, &mut m.watched_s]);
+            all.chain([&mut self.counted_s]).for_each(|count| *count *= FADE);
             self.viewers.retain(|_, v| v.0 + 6 * CHOOSE_US > now);
             self.titles.retain(|_, at| *at + TITLE_US > now);
             self.streamers.retain(|_, s| s.entry.standing != Standing::Gone || !s.sessions.is_empty());
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -55,6 +55,13 @@
     deductions: BTreeMap<String, f64>,
 }
 
+impl Info {
+    /// What is deducted for something.
+    fn price(&self, name: &str) -> f64 {
+        self.deductions.get(name).copied().unwrap_or(0.0)
+    }
+}
+
 #[derive(Deserialize)]
 struct Lane {
     name: String,
@@ -207,7 +214,6 @@
             live: family.is_live.get(i).copied().unwrap_or(false),
         });
     }
-    let price = |name: &str| info.deductions.get(name).copied().unwrap_or(0.0);
     let rules = &info.rules;
     Ok(Settings {
         me: info.me,
@@ -247,9 +253,11 @@
             span_us: whole(Some(span)),
         }),
         my_zone: ZoneId(zones.id(&info.my_zone)),
-        cross_zone_price: price("cross_zone"),
-        probe_price: price("probe"),
-        move_price: price("moves"),
+        cross_zone_price: info.price("cross_zone"),
+        probe_price: info.price("probe"),
+        handshake_price: info.price("handshake"),
+        keep_us: Carriage::of(info).keep_us(),
+        move_price: info.price("moves"),
     })
 }
 
@@ -264,6 +272,8 @@
     pub set_ups: usize,
     /// How long a viewer of each class waits that does not say so.
     pub deadlines_us: Vec<Micros>,
+    /// Price of a new connection, as a part of a session's worth.
+    pub handshake_price: f64,
 }
 
 impl Carriage {
@@ -275,9 +285,15 @@
             idle_us: or(bounds.keepalive_us, 15_000_000),
             set_ups: or(bounds.multiplex, 32) as usize,
             deadlines_us: info.lanes.iter().map(|l| or(l.deadline_us, 3_000_000)).collect(),
+            handshake_price: info.price("handshake"),
         }
     }
 
+    /// For so long after its last use a connection takes set-ups, so that none crosses the streamer's close.
+    pub fn keep_us(&self) -> Micros {
+        self.idle_us / 5 * 3
+    }
+
     /// The longest time that a viewer of any class waits.
     pub fn longest_us(&self) -> Micros {
         self.deadlines_us.iter().max().copied().unwrap_or(3_000_000)
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -52,6 +52,8 @@
         my_zone: ZoneId(0),
         cross_zone_price: 0.0,
         probe_price: 0.0,
+        handshake_price: 0.0,
+        keep_us: 9 * S,
         move_price: 0.2,
     }
 }
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -51,6 +51,10 @@
 
 impl Rig {
     fn start() -> Rig {
+        Rig::with(common::SETTINGS)
+    }
+
+    fn with(settings: &str) -> Rig {
         let (streamer, bulletin) = (listener(), listener());
         let folder = std::env::temp_dir().join(format!(
             "stonewharf-test-{}-{}",
@@ -63,9 +67,8 @@
             r#"{{"name":"n0","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964",
             "limits":{{"cores":1.0,"memory_mb":192,"sockets":64}},"bulletin":"{}",
             "known":{{"no":1,"items":[{{"no":1,"roster":{{"revision":1,"complete":true,"members":[{members}]}}}}]}},
-            "settings":{}}}"#,
-            bulletin.local_addr().expect("bound"),
-            common::SETTINGS
+            "settings":{settings}}}"#,
+            bulletin.local_addr().expect("bound")
         );
         let file = folder.join("config.json");
         std::fs::write(&file, config).expect("written");
@@ -172,6 +175,11 @@
         .into()
 }
 
+fn over(session: u64) -> Vec<u8> {
+    let first = "TEARDOWN rtsp://media/x RTSP/1.0\r\nCSeq: 2\r\n";
+    format!("{first}Session: {session:016x}\r\nReason: cause=16\r\nContent-Length: 0\r\n\r\n").into()
+}
+
 #[test]
 fn a_session_is_set_up_and_released_in_pieces() {
     let rig = Rig::start();
@@ -194,12 +202,29 @@
     other.write_all(&message(52, 10, &[(58, &[0])])).expect("written");
     assert_eq!(hear(&mut other).0, 53);
     drop(viewer);
-    let end =
-        "TEARDOWN rtsp://media/x RTSP/1.0\r\nCSeq: 2\r\nSession: 00000000000000a1\r\nReason: cause=16\r\n";
-    streamer.write_all(format!("{end}Content-Length: 0\r\n\r\n").as_bytes()).expect("written");
+    streamer.write_all(&over(0xa1)).expect("written");
     assert_eq!(hear(&mut other), (12, 0xa1, vec![58, 0, 1, 16]));
 }
 
+/// A hundred directors with a session or two a second each heard of no streamer within a second: nearly every
+/// set-up went on a connection of its own, at 8 points of a session's worth.
+#[test]
+fn where_a_handshake_has_a_price_a_silent_connection_is_used_again() {
+    let rig =
+        Rig::with(&common::SETTINGS.replace(r#""deductions": {}"#, r#""deductions": {"handshake": 0.08}"#));
+    let mut viewer = rig.viewer();
+    viewer.write_all(&set_up(0xa5, "seat-view")).expect("written");
+    let mut streamer = rig.streamer();
+    read_rtsp(&mut streamer);
+    streamer.write_all(&stands(0xa5, "answer")).expect("written");
+    assert_eq!(hear(&mut viewer).0, 9);
+    streamer.write_all(&over(0xa5)).expect("written");
+    assert_eq!(hear(&mut viewer), (12, 0xa5, vec![58, 0, 1, 16]));
+    std::thread::sleep(Duration::from_millis(1500)); // longer than "heard of lately"
+    viewer.write_all(&set_up(0xa6, "replay")).expect("written");
+    assert!(read_rtsp(&mut streamer).contains("Session: 00000000000000a6"), "on the same connection");
+}
+
 /// A connection that breaks after a set-up was written proves nothing: a paid viewer is told "failed".
 #[test]
 fn a_broken_connection_is_never_called_a_refusal_of_a_paid_set_up() {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -561,6 +561,35 @@
     assert_eq!(sends, 1, "a probe that never came back does not hold it");
 }
 
+/// A hundred controllers spread their few sessions over all streamers and opened a new connection for nearly
+/// each; own sessions on a link were taken for a sign of others there, which drove them further apart.
+#[test]
+fn where_connections_cost_each_controller_keeps_to_a_few_streamers() {
+    let used = |handshake_price: f64| {
+        let mut used = std::collections::BTreeSet::new();
+        for me in 0..50 {
+            let (mut b, _) = Bench::at_start(Settings { handshake_price, ..one_of(me, 50) }, u64::from(me));
+            b.give(Event::List {
+                scope: ListScope::Full,
+                entries: (0..20).map(|i| entry(i, i % 4)).collect(),
+            });
+            b.now = 20 * S;
+            for id in 0..16 {
+                b.now += S / 2;
+                let at = sent(&b.ask(request(id, 0))).expect("sent");
+                b.start(id, at);
+                b.end(id, at, Outcome::Ok, true);
+                used.insert((me, at));
+            }
+        }
+        let streamers = used.iter().map(|u| u.1).collect::<std::collections::BTreeSet<_>>().len();
+        (used.len(), streamers)
+    };
+    let (free, priced) = (used(0.0), used(0.08));
+    assert!(priced.0 * 2 < free.0, "connections {priced:?}, {free:?} where they cost nothing");
+    assert!(priced.1 >= 15, "they do not herd: {} of 20 streamers are used", priced.1);
+}
+
 #[test]
 fn pools_of_many_controllers_together_are_the_fleets_slots() {
     let part = |me: u32, controllers: u32| -> usize {
