--- a/src/rules.rs
+++ b/src/rules.rs
@@ -14,6 +14,7 @@
 const SLOT_MARGIN: f64 = 0.9; // part of a link that slots may fill: the spread of title rates takes the rest
 const FULL: f64 = 0.90; // use of a link or uplink up to which a session of its own pool may be set up
 const LENT: f64 = 0.86; // the same for a borrower: a little is kept for those who own the room
+const GUESS_ROOM: f64 = 0.2; // added where no load is asked for: a guess by a few own ones turns none away
 const RAISE: f64 = 0.82; // use up to which playing sessions are stepped up
 const SHORT: f64 = 1.0; // use from which sessions are stepped down: a step costs more than a short spell
 const SETTLE: f64 = 0.95; // use that stepping down aims at
@@ -267,7 +268,9 @@
             Event::Inbound(request) => self.inbound(request, out),
             Event::Preexisting(request, streamer) => self.handed(request, streamer),
             Event::Started { request, streamer, .. } => self.started(request, streamer),
-            Event::Note { request, streamer, kind, value } => self.note(request, streamer, kind, value, out),
+            Event::Note { request, streamer, kind, value } => {
+                self.note(request, streamer, (kind, value), out)
+            }
             Event::Ended { request, streamer, outcome, last, report, .. } => {
                 self.report(streamer, report);
                 self.ended(request, streamer, outcome, last, out);
@@ -392,6 +395,8 @@
 
     /// Room for one more, kB a second, at a streamer: the lesser of link's and uplink's up to `limit`.
     fn room_kb(&self, s: &Streamer, limit: f64) -> f64 {
+        let guess = self.set.reports == ReportMode::ProbeOnly && !self.set.probes && !s.link.fresh(self.now);
+        let limit = if guess { limit + GUESS_ROOM } else { limit };
         let rack = self.set.rack_of(&s.entry);
         let uplink = self.racks.get(&rack).map_or(f64::MAX, |g| (limit - self.rack_load(rack)) * g.cap_kb);
         ((limit - self.link_load(s)) * s.link.cap_kb).min(uplink)
@@ -411,14 +416,8 @@
         report.uplink.into_iter().for_each(|x| self.hear(id, 1, at, x));
     }
 
-    fn note(
-        &mut self,
-        request: RequestId,
-        id: StreamerId,
-        kind: NoteKind,
-        value: f64,
-        out: &mut Vec<Action>,
-    ) {
+    fn note(&mut self, request: RequestId, id: StreamerId, note: (NoteKind, f64), out: &mut Vec<Action>) {
+        let (kind, value) = note;
         let (now, late) = (self.now, self.now.saturating_sub(self.set.seen_after_us));
         let setting_up = self.sessions.get(&request).is_some_and(|s| s.changed_at + FRESH_US / 10 > now);
         let at = if setting_up { now } else { late };
@@ -760,10 +759,8 @@
     /// Whether a cold streamer may have a set-up now. Turns are cut from the common clock, one set-up a turn
     /// and every turn one controller's, so that all together stay in the pace.
     fn cold_turn(&self, s: &Streamer) -> Option<u64> {
-        let warm_up_s = (self.set.warm_up_us as f64 / SECOND).max(1e-3);
-        let pace = self.set.fall_multiple * self.set.streams_of(&s.entry) / warm_up_s
-            * self.set.cold_from
-            * COLD_PACE;
+        let places = self.set.fall_multiple * self.set.streams_of(&s.entry) * self.set.cold_from;
+        let pace = COLD_PACE * places / (self.set.warm_up_us as f64 / SECOND).max(1e-3);
         // Neighbouring cells have their turns in turn, lest all holders of a title be another's at once.
         let turn = (self.now as f64 / SECOND * pace) as u64 + u64::from(s.entry.cell);
         let mine = turn % u64::from(self.set.controllers) == u64::from(self.set.me);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -590,6 +590,24 @@
     assert!(priced.1 >= 15, "they do not herd: {} of 20 streamers are used", priced.1);
 }
 
+/// A hundredth of the fleet's sessions tells its load to within some 40 in 100: a controller with a few more than
+/// its part took a half empty fleet for full and refused, while nobody had told it of any link.
+#[test]
+fn where_no_load_is_asked_for_a_few_own_sessions_too_many_refuse_nobody() {
+    let turned_away = |reports| {
+        let set = Settings { probes: true, probe_price: 0.08, reports, ..one_of(0, 100) };
+        let (mut b, _) = Bench::at_start(set, 1);
+        for id in 0..4 {
+            b.give(Event::Preexisting(request(id, 0), StreamerId(id as u32)));
+            b.note(id, StreamerId(id as u32), NoteKind::Rung, 2.0);
+        }
+        b.now = S;
+        refused(&b.ask(request(9, 0)))
+    };
+    assert!(turned_away(ReportMode::InAnswers), "own sessions times a hundred fill all links");
+    assert!(!turned_away(ReportMode::ProbeOnly));
+}
+
 #[test]
 fn pools_of_many_controllers_together_are_the_fleets_slots() {
     let part = |me: u32, controllers: u32| -> usize {
