--- a/src/rules.rs
+++ b/src/rules.rs
@@ -39,6 +39,7 @@
 const TRIAL_US: Micros = 2_000_000; // between trials of a barred streamer
 const SUSPECT_COST: f64 = 0.5; // suspicion 1 weighs as much as so much of a link in use
 const COLD_PACE: f64 = 0.7; // part of the cold pace used: the rest is for chance and lateness
+const TURN_S: f64 = 0.4; // a turn at a cold streamer at most, where its pace allows several controllers in one
 const PROBES_PER_SESSION: f64 = 1.5; // probes a session earns: for its set-up and for steps up
 const PROBE_WORTH: f64 = 0.04; // part of a session's worth that a probe brings at most: dearer ones never pay
 const ASKS: usize = 2; // streamers asked before a set-up at most: the power of two choices
@@ -756,14 +757,16 @@
         unsure || s.cold_since.is_some_and(|since| self.now < warm_at(since))
     }
 
-    /// Whether a cold streamer may have a set-up now. Turns are cut from the common clock, one set-up a turn
-    /// and every turn one controller's, so that all together stay in the pace.
+    /// Whether a cold streamer may have a set-up now. Turns are cut from the common clock, each for as many
+    /// controllers as the pace allows; COLD_PACE leaves room for the one turn more that any second touches.
     fn cold_turn(&self, s: &Streamer) -> Option<u64> {
         let places = self.set.fall_multiple * self.set.streams_of(&s.entry) * self.set.cold_from;
         let pace = COLD_PACE * places / (self.set.warm_up_us as f64 / SECOND).max(1e-3);
+        let group = (pace * TURN_S).max(1.0) as u64;
         // Neighbouring cells have their turns in turn, lest all holders of a title be another's at once.
-        let turn = (self.now as f64 / SECOND * pace) as u64 + u64::from(s.entry.cell);
-        let mine = turn % u64::from(self.set.controllers) == u64::from(self.set.me);
+        let turn = (self.now as f64 / SECOND * pace / group as f64) as u64 + u64::from(s.entry.cell);
+        let groups = u64::from(self.set.controllers).div_ceil(group);
+        let mine = turn % groups == u64::from(self.set.me) / group;
         (mine && s.cold_turn != Some(turn)).then_some(turn)
     }
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -98,20 +98,20 @@
     }
 }
 
-/// All controllers together on one cold streamer, with a request for it every 20 ms at each.
-fn cold_sends(controllers: u32, make: impl Fn(&mut Controller)) -> Vec<u64> {
+/// All controllers together on one cold streamer, with a request for it every so often at each.
+fn cold_sends(set: &Settings, every: u64, make: impl Fn(&mut Controller)) -> Vec<u64> {
+    let controllers = set.controllers;
     let mut fleet: Vec<Controller> = (0..controllers)
         .map(|me| {
-            let mut c =
-                Controller::new(Settings { me, controllers, ..settings(idempotent()) }, 1, 0).unwrap();
+            let mut c = Controller::new(Settings { me, ..set.clone() }, 1, 0).unwrap();
             make(&mut c);
             c
         })
         .collect();
     let mut sends = Vec::new();
     for step in 0..250u64 {
-        let now = 100 * S + step * 20_000;
-        for c in &mut fleet {
+        for (me, c) in fleet.iter_mut().enumerate() {
+            let now = 100 * S + step * every + me as u64 * every / u64::from(controllers);
             let mut out = Vec::new();
             c.handle(now, Event::Inbound(request(step + 1, 0)), &mut out);
             if let Some(streamer) = sent(&out) {
@@ -126,27 +126,39 @@
     sends
 }
 
-fn assert_paced(sends: &[u64]) {
-    // 40 streams over 10 s of warm-up, half of it at first, twice that at most: 4 in any second.
+fn assert_paced(sends: &[u64], most: usize) {
     assert!(!sends.is_empty(), "a cold streamer is not starved");
     for from in sends {
         let burst = sends.iter().filter(|t| *t >= from && **t < from + S).count();
-        assert!(burst <= 4, "{burst} set-ups in a second");
+        assert!(burst <= most, "{burst} set-ups in a second");
     }
 }
 
+fn told_cold(c: &mut Controller) {
+    let cold = Entry { started_at: Some(99 * S), ..entry(0, 0) };
+    c.handle(99 * S, Event::List { scope: ListScope::Full, entries: vec![cold] }, &mut Vec::new());
+}
+
 #[test]
 fn a_cold_streamer_is_not_pushed_over_by_all_together() {
     for controllers in [1, 2, 3, 7, 40] {
-        let told = |c: &mut Controller| {
-            let cold = Entry { started_at: Some(99 * S), ..entry(0, 0) };
-            let list = Event::List { scope: ListScope::Full, entries: vec![cold] };
-            c.handle(99 * S, list, &mut Vec::new());
-        };
-        assert_paced(&cold_sends(controllers, told));
+        // 40 streams over 10 s of warm-up, half of it at first, twice that at most: 4 in any second.
+        let set = Settings { controllers, ..settings(idempotent()) };
+        assert_paced(&cold_sends(&set, 20_000, told_cold), 4);
     }
 }
 
+/// One turn of 71 ms in seven seconds for each of a hundred controllers: at a request or two a second each, new
+/// streamers stood all but empty through their warm-up while the others ran short.
+#[test]
+fn the_pace_of_a_cold_streamer_is_used_by_many_controllers_with_little_each() {
+    // 200 streams over 10 s of warm-up, half of it at first, twice that at most: 20 in any second.
+    let set = Settings { controllers: 100, kinds_streams: vec![200], ..settings(idempotent()) };
+    assert_paced(&cold_sends(&set, 20_000, told_cold), 20);
+    let few = cold_sends(&set, 700_000, told_cold).iter().filter(|t| **t < 108 * S).count();
+    assert!(few >= 24, "{few} set-ups in 8 s of 1,100 requests");
+}
+
 #[test]
 fn after_an_own_restart_a_stale_list_is_not_trusted() {
     // Born at 99 s with a cached list that says nothing of starts: any of them may have restarted unseen.
