--- a/src/rules.rs
+++ b/src/rules.rs
@@ -25,9 +25,8 @@
 const TRUST_S: f64 = 12.0; // seconds in which a report loses most of its weight: sessions come and go
 const BELIEF: f64 = 0.3; // part of a report's surprise that is believed: reports are noisy
 const SHORT_BELIEF: f64 = 0.8; // the same of a note of delivery
-const NEAR_FULL: f64 = 0.85; // use from which an uplink can be what is short
-const LEAST_SHARE: f64 = 0.4; // a note tells no more of a link than that this share of what is asked is there
-const STALLED: f64 = 0.3; // share delivered under which a streamer stalls, whatever is asked of it
+const SHORT_US: Micros = 2_000_000; // notes of short delivery come once a second: one still holds for so long
+const STALLED: f64 = 0.3; // share delivered under which a streamer stalls: less tells nothing of its load
 const TOLD: f64 = 10.0; // reports over which the mean use of links, or of uplinks, is taken
 const REPORT_AGE_US: Micros = 300_000; // how old a report in an answer is taken to be
 const REPORT_OLDEST_US: Micros = 600_000; // how old it may be: refreshed now and then, and late
@@ -269,9 +268,7 @@
             Event::Inbound(request) => self.inbound(request, out),
             Event::Preexisting(request, streamer) => self.handed(request, streamer),
             Event::Started { request, streamer, .. } => self.started(request, streamer),
-            Event::Note { request, streamer, kind, value } => {
-                self.note(request, streamer, (kind, value), out)
-            }
+            Event::Note { request: id, streamer, kind, value } => self.note(id, streamer, (kind, value), out),
             Event::Ended { request, streamer, outcome, last, report, .. } => {
                 self.report(streamer, report);
                 self.ended(request, streamer, outcome, last, out);
@@ -335,8 +332,7 @@
         }
         for entry in entries {
             let cap_kb = (entry.weight * self.set.weight_kb).clamp(1.0, self.set.fleet_kb.max(1.0));
-            let rack = self.racks.entry(self.set.rack_of(&entry)).or_default();
-            rack.cap_kb = self.set.rack_kb;
+            self.racks.entry(self.set.rack_of(&entry)).or_default().cap_kb = self.set.rack_kb;
             let (now, born) = (self.now, self.born);
             let s = self.streamers.entry(entry.streamer).or_insert_with(|| Streamer {
                 entry: entry.clone(),
@@ -394,13 +390,21 @@
         self.racks.get(&rack).map_or(0.0, |g| g.load(self.now, self.usual(g, 1)))
     }
 
+    /// Whether a streamer is short alone: an uplink shorts all its streamers alike.
+    fn short_alone(&self, id: StreamerId, rack: u32) -> bool {
+        let here = |s: &&Streamer| self.set.rack_of(&s.entry) == rack && s.entry.streamer != id;
+        let others = self.streamers.values().filter(here).filter(|s| !s.sessions.is_empty());
+        let (short, whole): (Vec<_>, Vec<_>) = others.partition(|s| s.link.short_within(self.now, SHORT_US));
+        whole.len() > short.len().max(1)
+    }
+
     /// Room for one more, kB a second, at a streamer: the lesser of link's and uplink's up to `limit`.
     fn room_kb(&self, s: &Streamer, limit: f64) -> f64 {
-        let guess = self.set.reports == ReportMode::ProbeOnly && !self.set.probes && !s.link.fresh(self.now);
-        let limit = if guess { limit + GUESS_ROOM } else { limit };
+        let guess = self.set.reports == ReportMode::ProbeOnly && !self.set.probes;
+        let limit = |g: &Gauge| if guess && !g.fresh(self.now) { limit + GUESS_ROOM } else { limit };
         let rack = self.set.rack_of(&s.entry);
-        let uplink = self.racks.get(&rack).map_or(f64::MAX, |g| (limit - self.rack_load(rack)) * g.cap_kb);
-        ((limit - self.link_load(s)) * s.link.cap_kb).min(uplink)
+        let uplink = self.racks.get(&rack).map_or(f64::MAX, |g| (limit(g) - self.rack_load(rack)) * g.cap_kb);
+        ((limit(&s.link) - self.link_load(s)) * s.link.cap_kb).min(uplink)
     }
 
     /// Takes a load report that came along with an answer or a probe.
@@ -429,23 +433,20 @@
             NoteKind::Delivered => {}
         }
         let Some(rack) = self.streamers.get(&id).map(|s| self.set.rack_of(&s.entry)) else { return };
-        // An uplink shorts all its streamers alike: it is to blame only where its own account is near full.
-        let near = self.rack_load(rack) >= NEAR_FULL;
+        let alone = self.short_alone(id, rack);
         let (Some(s), Some(gauge)) = (self.streamers.get_mut(&id), self.racks.get_mut(&rack)) else { return };
         if value > 0.0 && value < 0.98 {
             s.link.short_at = Some(now);
-            // Where a fresh report clears the link it is the uplink, or the streamer itself stalls.
-            let uplink = near && s.link.fresh(now) && s.link.seen.is_some_and(|s| s.1 < 0.95);
-            let blamed = if uplink { gauge } else { &mut s.link };
+            let blamed = if alone || value < STALLED { &mut s.link } else { gauge };
             blamed.short_at = Some(now);
-            blamed.observe(late, 1.0 / value.max(LEAST_SHARE), SHORT_BELIEF);
+            blamed.observe(late, 1.0 / value.max(STALLED), SHORT_BELIEF);
             if value < STALLED {
                 self.judge(id, 1.0, "delivers next to nothing", out);
             }
         } else if value >= 0.98 {
-            // Delivery is whole again: an account above 1 was wrong or is over.
+            // Delivery is whole again: an account above 1 was wrong or is over, and others changed it, too.
             let over = [&mut s.link, gauge].into_iter().filter(|g| g.seen.is_some_and(|s| s.1 > 1.0));
-            over.for_each(|g| g.observe(at, SETTLE, SHORT_BELIEF));
+            over.for_each(|g| g.seen = None);
         }
     }
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -362,6 +362,27 @@
     assert!(next.is_some_and(|next| next != at), "the others are used, the stalled one is not: {next:?}");
 }
 
+/// Notes of short delivery were put down to each streamer's link although its whole rack got the same share: its
+/// neighbours, behind the same short uplink, were taken for free. Once whole again it was held full for long.
+#[test]
+fn streamers_of_a_rack_that_are_short_together_are_short_of_its_uplink() {
+    let mut b = Bench::new(Settings { racks: 2, rack_kb: 6_000.0, ..settings(idempotent()) });
+    b.give(Event::List { scope: ListScope::Full, entries: (0..8).map(|i| entry(i, i % 4)).collect() });
+    // Streamers with an even number are in one rack; 0 and 2 hold a session each, the others' rack many.
+    for (id, at) in [(1, 0), (2, 2), (3, 1), (4, 3), (5, 5), (6, 7), (7, 1), (8, 3)] {
+        b.give(Event::Preexisting(request(id, 0), StreamerId(at)));
+        b.note(id, StreamerId(at), NoteKind::Rung, f64::from(at % 2 * 2));
+    }
+    b.now += 2 * S;
+    let rack = |b: &mut Bench, id: u64| sent(&b.ask(request(id, 0))).map(|at| at.0 % 2);
+    assert_eq!(rack(&mut b, 20), Some(0), "the emptier one");
+    [(1, 0), (2, 2)].iter().for_each(|(id, at)| drop(b.note(*id, StreamerId(*at), NoteKind::Delivered, 0.8)));
+    assert_eq!(rack(&mut b, 21), Some(1), "its free streamers are behind the same uplink");
+    b.now += 2 * S;
+    [(1, 0), (2, 2)].iter().for_each(|(id, at)| drop(b.note(*id, StreamerId(*at), NoteKind::Delivered, 1.0)));
+    assert_eq!(rack(&mut b, 22), Some(0), "whole again: what was told before is forgotten");
+}
+
 /// A barred streamer was left out for half a minute after its trouble had ended: it could be tried, but its
 /// suspicion ranked it last. A load test does not clear it, since one that stalls answers those.
 #[test]
