--- a/src/rules.rs
+++ b/src/rules.rs
@@ -343,7 +343,7 @@
             });
             if entry.started_at > s.entry.started_at {
                 s.cold_since = entry.started_at; // a restart: what was held against it is void
-                s.suspicion = s.suspicion.min(BARRED / 2.0);
+                s.suspicion = 0.0;
                 s.link.seen = None;
             }
             s.entry = entry;
@@ -688,7 +688,7 @@
                 self.step(false, rack, None, excess(g, load), out);
             } else if load < RAISE {
                 // Who had to ask has the news alone, but for those who ask before its own step shows.
-                let few = [1.0, ASKERS][usize::from(self.set.reports == ReportMode::ProbeOnly)];
+                let few = [1.0, ASKERS][usize::from(self.set.probes && self.set.reports == ReportMode::ProbeOnly)];
                 let part = part(g, load).max((few * part(g, load)).min(0.5));
                 self.step(true, rack, None, (RAISE - load) * g.cap_kb * part, out);
             }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -263,6 +263,24 @@
     assert!(again, "suspicion fades");
 }
 
+/// A zone that came back stood all but empty for many seconds: what its streamers had failed in before their
+/// restart still weighed as much as a quarter of a link in use.
+#[test]
+fn a_restart_voids_what_was_held_against_a_streamer() {
+    let mut b = Bench::new(Settings { warm_up_us: S / 10, ..settings(idempotent()) });
+    let bad = sent(&b.ask(request(1, 0))).expect("sent");
+    b.end(1, bad, Outcome::ConnectError, true);
+    let back = Entry { started_at: Some(b.now), ..entry(bad.0, bad.0) };
+    b.give(Event::List { scope: ListScope::Delta, entries: vec![back] });
+    b.now += S;
+    let used = (2..40).any(|id| {
+        let at = sent(&b.ask(request(id, 0))).expect("sent");
+        b.end(id, at, Outcome::Canceled, true);
+        at == bad
+    });
+    assert!(used, "as good as any other");
+}
+
 /// Requests were refused for want of room beside sessions on high rungs. One step down there frees several
 /// sessions' worth of the lowest rate; where it earns less than it loses nothing is stepped.
 #[test]
@@ -570,6 +588,26 @@
     assert!(steps > 5 && steps < 150, "some step up, not all: {steps} of 200");
 }
 
+/// Controllers that ask for loads make up for those that don't; where none asks, ten times each part was ten
+/// times too much: in the first second after a handover hundreds of sessions went up, and racks ran short.
+#[test]
+fn many_controllers_that_ask_for_no_load_step_up_by_their_own_part_alone() {
+    let ups = |probe_price: f64| -> usize {
+        let set = |me| {
+            let full = Settings { rack_kb: 115_000.0, ..one_of(me, 200) };
+            Settings { probes: true, probe_price, reports: ReportMode::ProbeOnly, ..full }
+        };
+        let up = |me: u32| {
+            let mut b = with_session(set(me), 2.0);
+            b.now += 30 * S;
+            rated(&b.sweep(250_000))
+        };
+        (0..200).map(up).sum()
+    };
+    let (asked, silent) = (ups(0.01), ups(0.08));
+    assert!(silent * 2 < asked && silent > 5, "{silent} of 200 go up, {asked} where loads are asked for");
+}
+
 #[test]
 fn own_counts_alone_step_nothing_down() {
     let mut b = with_session(one_of(0, 50), 3.0);
