--- a/src/rules.rs
+++ b/src/rules.rs
@@ -688,8 +688,8 @@
                 self.step(false, rack, None, excess(g, load), out);
             } else if load < RAISE {
                 // Who had to ask has the news alone, but for those who ask before its own step shows.
-                let few = [1.0, ASKERS][usize::from(self.set.probes && self.set.reports == ReportMode::ProbeOnly)];
-                let part = part(g, load).max((few * part(g, load)).min(0.5));
+                let asks = self.set.probes && self.set.reports == ReportMode::ProbeOnly;
+                let part = part(g, load).max(if asks { 0.5_f64.min(ASKERS * part(g, load)) } else { 0.0 });
                 self.step(true, rack, None, (RAISE - load) * g.cap_kb * part, out);
             }
         }
