--- a/src/rules.rs
+++ b/src/rules.rs
@@ -14,7 +14,6 @@
 const SLOT_MARGIN: f64 = 0.9; // part of a link that slots may fill: the spread of title rates takes the rest
 const FULL: f64 = 0.90; // use of a link or uplink up to which a session of its own pool may be set up
 const LENT: f64 = 0.86; // the same for a borrower: a little is kept for those who own the room
-const GUESS_ROOM: f64 = 0.2; // added where no load is asked for: a guess by a few own ones turns none away
 const RAISE: f64 = 0.82; // use up to which playing sessions are stepped up
 const SHORT: f64 = 1.0; // use from which sessions are stepped down: a step costs more than a short spell
 const SETTLE: f64 = 0.95; // use that stepping down aims at
@@ -333,12 +332,11 @@
         for entry in entries {
             let cap_kb = (entry.weight * self.set.weight_kb).clamp(1.0, self.set.fleet_kb.max(1.0));
             self.racks.entry(self.set.rack_of(&entry)).or_default().cap_kb = self.set.rack_kb;
-            let (now, born) = (self.now, self.born);
             let s = self.streamers.entry(entry.streamer).or_insert_with(|| Streamer {
                 entry: entry.clone(),
                 link: Gauge { cap_kb, ..Gauge::default() },
                 cold_since: entry.started_at,
-                warm_known: scope != ListScope::Cached && entry.started_at.is_none() && now > born,
+                warm_known: scope != ListScope::Cached && entry.started_at.is_none() && self.now > self.born,
                 ..Streamer::default()
             });
             if entry.started_at > s.entry.started_at {
@@ -398,10 +396,15 @@
         whole.len() > short.len().max(1)
     }
 
+    /// Spread of a use that is but a guess by own sessions: no load is asked for, and nothing was heard.
+    fn spread(&self, g: &Gauge) -> f64 {
+        let told = self.set.reports != ReportMode::ProbeOnly || self.set.probes || g.fresh(self.now);
+        if told { 0.0 } else { self.own_sessions().max(1.0).sqrt().recip() }
+    }
+
     /// Room for one more, kB a second, at a streamer: the lesser of link's and uplink's up to `limit`.
     fn room_kb(&self, s: &Streamer, limit: f64) -> f64 {
-        let guess = self.set.reports == ReportMode::ProbeOnly && !self.set.probes;
-        let limit = |g: &Gauge| if guess && !g.fresh(self.now) { limit + GUESS_ROOM } else { limit };
+        let limit = |g: &Gauge| limit * (1.0 + self.spread(g)); // a guess turns nobody away
         let rack = self.set.rack_of(&s.entry);
         let uplink = self.racks.get(&rack).map_or(f64::MAX, |g| (limit(g) - self.rack_load(rack)) * g.cap_kb);
         ((limit(&s.link) - self.link_load(s)) * s.link.cap_kb).min(uplink)
@@ -421,15 +424,14 @@
         report.uplink.into_iter().for_each(|x| self.hear(id, 1, at, x));
     }
 
-    fn note(&mut self, request: RequestId, id: StreamerId, note: (NoteKind, f64), out: &mut Vec<Action>) {
-        let (kind, value) = note;
+    fn note(&mut self, of: RequestId, id: StreamerId, (kind, value): (NoteKind, f64), out: &mut Vec<Action>) {
         let (now, late) = (self.now, self.now.saturating_sub(self.set.seen_after_us));
-        let setting_up = self.sessions.get(&request).is_some_and(|s| s.changed_at + FRESH_US / 10 > now);
+        let setting_up = self.sessions.get(&of).is_some_and(|s| s.changed_at + FRESH_US / 10 > now);
         let at = if setting_up { now } else { late };
         match kind {
             NoteKind::LinkUse => return self.hear(id, 0, at, value),
             NoteKind::UplinkUse => return self.hear(id, 1, at, value),
-            NoteKind::Rung => return self.set_rung(request, value.clamp(0.0, 64.0) as usize, true),
+            NoteKind::Rung => return self.set_rung(of, value.clamp(0.0, 64.0) as usize, true),
             NoteKind::Delivered => {}
         }
         let Some(rack) = self.streamers.get(&id).map(|s| self.set.rack_of(&s.entry)) else { return };
@@ -635,8 +637,7 @@
     /// link were just full, in proportion to the class's worth (worth grows about with a rate's logarithm).
     fn start_rung(&self, session: &Session, s: &Streamer, limit: f64) -> usize {
         let request = &session.request;
-        let rack = self.set.rack_of(&s.entry);
-        let load = self.rack_load(rack).max(self.link_load(s)).max(0.1);
+        let load = self.rack_load(self.set.rack_of(&s.entry)).max(self.link_load(s)).max(0.1);
         let mean_kb = (self.own_kb + self.slot_kb) / (self.own_sessions() + 1.0);
         let worths: f64 = self.set.classes.iter().map(|c| c.worth).sum();
         let dear = self.set.classes[request.class.0].worth * self.set.classes.len() as f64 / worths;
@@ -674,8 +675,7 @@
         let part = |g: &Gauge, load: f64| (g.own_kb / (load * g.cap_kb).max(1.0)).min(1.0);
         let excess = |g: &Gauge, load: f64| (load - SETTLE) * g.cap_kb * part(g, load);
         let news = |g: &Gauge| g.seen.is_none_or(|s| s.0 > g.stepped_at);
-        let all: Vec<StreamerId> = self.streamers.keys().copied().collect();
-        for id in all {
+        for id in self.streamers.keys().copied().collect::<Vec<_>>() {
             let (s, load) = (&self.streamers[&id], self.link_load(&self.streamers[&id]));
             if s.link.own > 0 && load > SHORT && s.link.fresh(now) && news(&s.link) {
                 self.step(false, self.set.rack_of(&s.entry), Some(id), excess(&s.link, load), out);
@@ -684,13 +684,14 @@
         let own: Vec<u32> = self.racks.iter().filter(|(_, g)| g.own > 0 && news(g)).map(|r| *r.0).collect();
         for rack in own {
             let (g, load) = (&self.racks[&rack], self.rack_load(rack));
+            let raise = RAISE / (1.0 + self.spread(g)); // who sees too little by chance must not step up
             if load > SHORT && g.fresh(now) {
                 self.step(false, rack, None, excess(g, load), out);
-            } else if load < RAISE {
+            } else if load < raise {
                 // Who had to ask has the news alone, but for those who ask before its own step shows.
                 let asks = self.set.probes && self.set.reports == ReportMode::ProbeOnly;
                 let part = part(g, load).max(if asks { 0.5_f64.min(ASKERS * part(g, load)) } else { 0.0 });
-                self.step(true, rack, None, (RAISE - load) * g.cap_kb * part, out);
+                self.step(true, rack, None, (raise - load) * g.cap_kb * part, out);
             }
         }
     }
@@ -805,12 +806,12 @@
             _ => (0.0, ""),
         };
         self.judge(at, evidence, why, out);
-        let (now, full_from) = (self.now, self.set.full_from);
+        let now = self.now;
         match self.streamers.get_mut(&at) {
             // It may come back cold before discovery says so.
             Some(s) if matches!(outcome, Outcome::Reset | Outcome::ConnectError) => s.cold_since = Some(now),
-            Some(s) if outcome == Outcome::QueueFull && full_from > 0.0 => {
-                s.link.observe(now, s.link.seen.map_or(0.0, |x| x.1).max(full_from), BELIEF);
+            Some(s) if outcome == Outcome::QueueFull && self.set.full_from > 0.0 => {
+                s.link.observe(now, s.link.seen.map_or(0.0, |x| x.1).max(self.set.full_from), BELIEF);
             }
             _ => {}
         }
