Pin every action over seeded worlds before the seam is cut

The subsystems to come (halls first) will set limits on set-ups through one interface. With none of them on, every action must stay as it is, to the bit. Eighteen seeded worlds (1, 3 and 100 controllers, three ways of load reports, a zone that answers nothing at times) are played and all actions digested; the digests are those of the program as it stands. No change of behaviour.

--- /dev/null
+++ b/tests/unchanged.rs
@@ -0,0 +1,151 @@
+//! With no subsystem's limits set, every action is what it was before there were any, to the bit: digests of
+//! all actions over seeded worlds, taken from the program as it stood before the seam was cut.
+mod common;
+use common::*;
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::{RngCore, SeedableRng};
+use std::collections::BTreeMap;
+use stonewharf::*;
+
+const STREAMERS: u32 = 12;
+
+/// FNV-1a over the written form of the actions; floats are written in full.
+fn digest(hash: u64, actions: &[Action]) -> u64 {
+    let text = format!("{actions:?}");
+    text.bytes().fold(hash, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
+}
+
+fn world_settings(seed: u64) -> Settings {
+    let mut paid = class(2.0, Effect::AtMostOnce);
+    paid.lowest_rung = 1;
+    Settings {
+        controllers: [1, 3, 100][seed as usize % 3],
+        reports: [ReportMode::ProbeOnly, ReportMode::InAnswers, ReportMode::Silent][seed as usize / 3 % 3],
+        probes: seed.is_multiple_of(2),
+        racks: 2,
+        cells: 6,
+        fleet_kb: 36_000.0,
+        rack_kb: 13_000.0,
+        handshake_price: if seed.is_multiple_of(5) { 0.1 } else { 0.0 },
+        cross_zone_price: 0.02,
+        ..settings(vec![paid, class(1.0, Effect::Idempotent)])
+    }
+}
+
+fn place(id: u32) -> Entry {
+    Entry { zone: ZoneId(id % 2), ..entry(id, id % 6) }
+}
+
+/// Plays a seeded world of two zones with failures, restarts and shortages; returns the digest.
+fn play(seed: u64) -> u64 {
+    let mut dice = ChaCha8Rng::seed_from_u64(seed ^ 0x5eed);
+    let mut roll = |n: u64| dice.next_u64() % n;
+    let mut controller = Controller::new(world_settings(seed), seed, 0).expect("settings");
+    let (mut now, mut hash) = (0, 0xcbf2_9ce4_8422_2325);
+    let mut out = Vec::new();
+    let entries = (0..STREAMERS).map(place).collect();
+    controller.handle(now, Event::List { scope: ListScope::Full, entries }, &mut out);
+    // What is out or plays: where, and whether it plays.
+    let mut open: BTreeMap<RequestId, (StreamerId, bool)> = BTreeMap::new();
+    let mut probes: Vec<StreamerId> = Vec::new();
+    for step in 0..3_000u64 {
+        now += roll(50_000);
+        let cut = (step / 500) % 3 == 1; // one zone answers nothing for a while
+        let pick = |n: u64| open.keys().nth(n as usize % open.len().max(1)).copied();
+        let event = match roll(12) {
+            0..=4 => {
+                let mut r = request(step + 1, roll(2) as usize);
+                (r.max_rung, r.left_us, r.cells_in_row) = (roll(4) as usize, 2 * S + roll(S), 6);
+                Event::Inbound(r)
+            }
+            5 => {
+                let id = roll(u64::from(STREAMERS)) as u32;
+                let standing = [Standing::Up, Standing::Up, Standing::Draining][roll(3) as usize];
+                let started_at = roll(4).is_multiple_of(4).then_some(now);
+                let e = Entry { standing, started_at, ..place(id) };
+                Event::List { scope: ListScope::Delta, entries: vec![e] }
+            }
+            6..=9 => match pick(roll(1 << 32)) {
+                Some(id) if !open[&id].1 => {
+                    let streamer = open[&id].0;
+                    let lost = cut && streamer.0 % 2 == 1;
+                    let odds = [Outcome::Failed, Outcome::QueueFull, Outcome::TimedOut, Outcome::Reset];
+                    match (lost, roll(12)) {
+                        (false, 0..=9) => {
+                            open.insert(id, (streamer, true));
+                            Event::Started { request: id, streamer, latency_us: 50_000 }
+                        }
+                        (lost, n) => {
+                            open.remove(&id);
+                            let outcome = if lost { Outcome::ConnectError } else { odds[n as usize % 4] };
+                            let report = LoadReport::default();
+                            Event::Ended { request: id, attempt: 0, streamer, outcome, last: false, report }
+                        }
+                    }
+                }
+                Some(request) => {
+                    let streamer = open[&request].0;
+                    if roll(3) == 0 {
+                        open.remove(&request);
+                        let (outcome, report) = (Outcome::Ok, LoadReport::default());
+                        Event::Ended { request, attempt: 0, streamer, outcome, last: true, report }
+                    } else {
+                        let kind = [NoteKind::Delivered, NoteKind::LinkUse][roll(2) as usize];
+                        Event::Note { request, streamer, kind, value: roll(150) as f64 / 100.0 }
+                    }
+                }
+                None => Event::Timer(TimerTag(1)),
+            },
+            10 => match probes.pop() {
+                Some(streamer) => {
+                    let outcome = [Outcome::Ok, Outcome::TimedOut][roll(2) as usize];
+                    let load = Some(roll(150) as f64 / 100.0);
+                    let report = LoadReport { link: load, uplink: load, ..LoadReport::default() };
+                    Event::Probed { streamer, outcome, report }
+                }
+                None => Event::Timer(TimerTag(1)),
+            },
+            _ => Event::Timer(TimerTag(1)),
+        };
+        out.clear();
+        controller.handle(now, event, &mut out);
+        hash = digest(hash, &out);
+        for action in &out {
+            match action {
+                Action::Send { request, streamer, .. } => {
+                    open.insert(*request, (*streamer, false));
+                }
+                Action::Probe(streamer) => probes.push(*streamer),
+                _ => {}
+            }
+        }
+    }
+    hash
+}
+
+const BEFORE: [u64; 18] = [
+    0x8b80a034520443d4,
+    0x32f2a791ba3968a6,
+    0x2a2b4cca92a8e8d7,
+    0x373776dc5478da84,
+    0xcb03cffa66d0bec2,
+    0x6cc5563ddec8e5f,
+    0x22f968fc5f31cd96,
+    0x6c5a4b89536686ba,
+    0xc298562f153ed450,
+    0x24b7a00a427c724a,
+    0x37155f3cde266a52,
+    0x2abe473f6c7235b3,
+    0xf95c890a8b1bb475,
+    0x543499c90ddda420,
+    0xe1d9ff08d15940c7,
+    0x64ba821c910d1aa8,
+    0x15e78ca229559b64,
+    0xaae13221b06a1b97,
+];
+
+#[test]
+fn actions_without_limits_are_as_before_the_seam() {
+    let now: Vec<u64> = (0..BEFORE.len() as u64).map(play).collect();
+    assert_eq!(now, BEFORE, "a decision changed");
+}
