Split the decisions and the ledger into stonewharf-core, a crate that may not do I/O

Subsystems to come (halls, inserts, store, contracts) need a boundary that a compiler keeps: modules of one crate may reach for sockets and clocks unseen. The root package keeps both programs at their paths.

--- a/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -29,7 +29,8 @@
 }
 
 impl NameError {
-    pub(crate) fn word(what: &'static str, word: &str) -> Self {
+    /// A word outside the vocabulary of `what`.
+    pub fn word(what: &'static str, word: &str) -> Self {
         NameError::UnknownWord { what, word: word.to_owned() }
     }
 }
@@ -171,7 +172,8 @@
     }
 }
 
-pub(crate) fn whole(value: Option<f64>) -> u64 {
+/// A figure as a whole number: 0 where it is absent, negative or not a number.
+pub fn whole(value: Option<f64>) -> u64 {
     value.unwrap_or(0.0).max(0.0) as u64
 }
 
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -1,6 +1,6 @@
 //! The simulator's JSON on one side, the module's types on the other. Translates; decides nothing.
+use crate::Controller;
 use crate::interface::*;
-use crate::rules::Controller;
 use crate::settings::{Info, Listed, NameError, Names, Vocabulary, Wanted, load_report, whole};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
