Cut a seam by which a subsystem's limits reach the decision module

Halls, and later contracts and stores, must narrow where set-ups go without deciding round the module. The trait Limits is told every event and every set-up and rung; asked about a set-up it states tier, open or not, and the highest rate to start at or step up to. Terms narrow the module's choice and never widen it. may_send, cost, start_rung, steps, send, set_rung, handle and answer ask or tell, one line each.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -45,8 +45,10 @@
 
 pub mod director;
 pub mod interface;
+pub mod limits;
 mod rules;
 pub mod settings;
 
 pub use interface::*;
+pub use limits::{Limits, Terms};
 pub use rules::{Controller, erlang_payoff, split_slots};
--- /dev/null
+++ b/crates/core/src/limits.rs
@@ -0,0 +1,103 @@
+//! The seam by which a subsystem's limits reach the decision module. A subsystem is told what the module is
+//! told and what it sends; asked about a set-up, it states terms: the streamer's tier, whether it is open, and
+//! how high the session may start. The module asks and decides: terms can only narrow its choice, never widen
+//! it, so no rule that the module keeps can be broken from here. Never does I/O and never answers a request.
+use crate::interface::*;
+use crate::rules::Controller;
+use std::fmt;
+
+/// Cost of a tier further in placement: more than all else there together.
+const TIER: f64 = 1e3;
+
+/// What holds for a set-up of one request to one streamer at one moment.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Terms {
+    /// Preference, 0 first. A tier is left only where the one before has no room for the request.
+    pub tier: u32,
+    /// Whether the set-up may go there now.
+    pub open: bool,
+    /// The rate at which the session may start, or be stepped up to, kB a second; the class's lowest rung is
+    /// always allowed.
+    pub most_kb: f64,
+}
+
+impl Terms {
+    /// No limit at all.
+    pub const FREE: Terms = Terms { tier: 0, open: true, most_kb: f64::INFINITY };
+}
+
+/// Limits of a subsystem. All times are the controller's, in microseconds, and never go back.
+pub trait Limits {
+    /// Told of each event before the module acts on it. Lines for on-call staff go to `news`.
+    fn hear(&mut self, now: Micros, event: &Event, news: &mut dyn FnMut(String));
+
+    /// Told of each set-up as it is sent, and the rung that it starts at. Each ends by one [`Event::Ended`].
+    fn sent(&mut self, now: Micros, request: &Request, streamer: StreamerId, rung: usize);
+
+    /// Told of each change of rung of a session that is out or plays.
+    fn rated(&mut self, _request: RequestId, _rung: usize) {}
+
+    /// The terms for a set-up of `request` to `streamer` now. Asked for each streamer that could be chosen:
+    /// its cost must not grow with their number.
+    fn terms(&self, now: Micros, request: &Request, streamer: StreamerId) -> Terms;
+
+    /// How long the viewer of a refused request is told to stay away: `most` is the longest that clients
+    /// follow, `chance` the controller's own dice, 0 to 1. `None` leaves it to the module.
+    fn hold_off(&self, _now: Micros, _request: &Request, _most: Micros, _chance: f64) -> Option<Micros> {
+        None
+    }
+}
+
+/// Where the module keeps the limits that are set; without any, all terms are free.
+#[derive(Default)]
+pub(crate) struct Seam {
+    now: Micros,
+    limits: Option<Box<dyn Limits>>,
+}
+
+impl Seam {
+    pub(crate) fn hear(&mut self, now: Micros, event: &Event, out: &mut Vec<Action>) {
+        self.now = now;
+        if let Some(limits) = &mut self.limits {
+            limits.hear(now, event, &mut |line| out.push(Action::Log(line)));
+        }
+    }
+
+    pub(crate) fn sent(&mut self, request: &Request, streamer: StreamerId, rung: usize) {
+        let now = self.now;
+        self.limits.iter_mut().for_each(|limits| limits.sent(now, request, streamer, rung));
+    }
+
+    pub(crate) fn rated(&mut self, request: RequestId, rung: usize) {
+        self.limits.iter_mut().for_each(|limits| limits.rated(request, rung));
+    }
+
+    pub(crate) fn terms(&self, request: &Request, streamer: StreamerId) -> Terms {
+        self.limits.as_ref().map_or(Terms::FREE, |limits| limits.terms(self.now, request, streamer))
+    }
+
+    pub(crate) fn tier_cost(&self, request: &Request, streamer: StreamerId) -> f64 {
+        TIER * f64::from(self.terms(request, streamer).tier)
+    }
+
+    pub(crate) fn hold_off(&self, request: &Request, most: Micros, chance: f64) -> Micros {
+        // Spread hints, so that those turned away together do not come back together.
+        let usual = (most as f64 * (0.25 + 0.5 * chance)) as Micros;
+        let told = self.limits.as_ref().and_then(|limits| limits.hold_off(self.now, request, most, chance));
+        told.map_or(usual, |told| told.min(most))
+    }
+}
+
+impl fmt::Debug for Seam {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(if self.limits.is_some() { "Seam(limits)" } else { "Seam(free)" })
+    }
+}
+
+impl Controller {
+    /// This controller with limits set on its choice, from its start on.
+    pub fn limited(mut self, limits: Box<dyn Limits>) -> Self {
+        self.limits = Seam { now: 0, limits: Some(limits) };
+        self
+    }
+}
--- a/crates/core/src/rules.rs
+++ b/crates/core/src/rules.rs
@@ -2,6 +2,7 @@
 //! Its types, events, actions and outcomes stand in `src/interface.rs`. docs/design.md tells what comes from
 //! Chen & Verma's paper and what departs from it; marks such as [D3] below refer to the list there.
 use crate::interface::*;
+use crate::limits::Seam;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{RngCore, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -180,6 +181,8 @@
     sessions: BTreeSet<RequestId>,
 }
 
+type Ranked = (f64, StreamerId); // by cost
+
 /// A request taken and not yet ended, or a session.
 #[derive(Default)]
 struct Session {
@@ -200,6 +203,7 @@
 /// The decisions of one controller. Feed it events in order; it answers with actions.
 #[derive(Default)]
 pub struct Controller {
+    pub(crate) limits: Seam,
     set: Settings,
     rng: Option<ChaCha8Rng>,
     born: Micros,
@@ -260,6 +264,7 @@
     /// Takes one event at its time and adds what is to be done.
     pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
         self.now = self.now.max(now);
+        self.limits.hear(self.now, &event, out);
         match event {
             Event::List { scope, entries } => self.list(scope, entries, out),
             Event::Inbound(r) | Event::Preexisting(r, _)
@@ -340,9 +345,8 @@
                 ..Streamer::default()
             });
             if entry.started_at > s.entry.started_at {
-                s.cold_since = entry.started_at; // a restart: what was held against it is void
-                s.suspicion = 0.0;
-                s.link.seen = None;
+                // A restart: what was held against it is void.
+                (s.cold_since, s.suspicion, s.link.seen) = (entry.started_at, 0.0, None);
             }
             s.entry = entry;
         }
@@ -530,14 +534,13 @@
             let cost = self.cost(&self.sessions[&id], &self.streamers[&s]);
             (if trial { -1.0 } else { cost } + jitter, s)
         });
-        let mut ranked: Vec<(f64, StreamerId)> = ranks.collect();
+        let mut ranked: Vec<Ranked> = ranks.collect();
         ranked.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
-        let ranked: Vec<StreamerId> = ranked.into_iter().map(|r| r.1).collect();
-        if ranked.first().is_some_and(|at| self.ask_first(id, *at, out)) {
+        if ranked.first().is_some_and(|best| self.ask_first(id, best.1, out)) {
             return;
         }
         let least = self.set.rate_kb(class, self.set.classes[class.0].lowest_rung);
-        let room = ranked.iter().copied().find(|s| self.room_kb(&self.streamers[s], limit) >= least);
+        let room = ranked.iter().map(|r| r.1).find(|s| self.room_kb(&self.streamers[s], limit) >= least);
         let Some(s) = room.or_else(|| self.squeeze(id, &ranked, out)) else { return self.answer(id, out) };
         let rung = self.start_rung(&self.sessions[&id], &self.streamers[&s], limit);
         self.send(id, s, rung, out);
@@ -545,13 +548,13 @@
 
     /// [D11] Makes room for one more at its lowest rung by stepping own sessions down, at the first of the
     /// best streamers where that earns more than it loses.
-    fn squeeze(&mut self, id: RequestId, best: &[StreamerId], out: &mut Vec<Action>) -> Option<StreamerId> {
+    fn squeeze(&mut self, id: RequestId, best: &[Ranked], out: &mut Vec<Action>) -> Option<StreamerId> {
         let session = self.sessions.get(&id)?;
         let limit = if self.own_slot(session) { FULL } else { LENT };
         let class = &self.set.classes[session.request.class.0];
         let least = self.set.rate_kb(session.request.class, class.lowest_rung);
         let gain = self.set.ladder_worth[class.lowest_rung] * class.worth * session.worth * SQUEEZE_GAIN;
-        let (at, down): (_, Vec<_>) = best.iter().take(ASKS).find_map(|at| {
+        let (at, down): (_, Vec<_>) = best.iter().take(ASKS).find_map(|(_, at)| {
             let s = &self.streamers[at];
             let need = least - self.room_kb(s, limit);
             // What a link lacks is freed on it, what an uplink lacks anywhere on it.
@@ -584,9 +587,8 @@
     fn ask_first(&mut self, id: RequestId, at: StreamerId, out: &mut Vec<Action>) -> bool {
         let now = self.now;
         let wanted = self.set.probes && now >= self.deaf_until && self.probes >= 1.0;
-        let (Some(s), Some(session)) = (self.streamers.get_mut(&at), self.sessions.get_mut(&id)) else {
-            return false;
-        };
+        let (s, session) = (self.streamers.get_mut(&at), self.sessions.get_mut(&id));
+        let (Some(s), Some(session)) = (s, session) else { return false };
         let heard = s.link.seen.is_some_and(|x| x.0 + SECOND as Micros > now);
         if !wanted || heard || session.asks >= ASKS || session.deadline < now + SECOND as Micros {
             return false;
@@ -629,8 +631,9 @@
         let link = self.link_load(s) + rate / s.link.cap_kb;
         let away = if s.entry.zone == self.set.my_zone { 0.0 } else { self.set.cross_zone_price };
         let again = if session.tried.contains(&s.entry.streamer) { 1.0 } else { 0.0 };
+        let tier = self.limits.tier_cost(&session.request, s.entry.streamer);
         let fresh = if self.now < s.linked_until { 0.0 } else { self.set.handshake_price };
-        link.max(uplink) + SUSPECT_COST * self.suspicion(s) + again + away + fresh
+        link.max(uplink) + SUSPECT_COST * self.suspicion(s) + again + away + fresh + tier
     }
 
     /// The highest rung with room, but no more than the fair rate [D5]: what own sessions play at, as if this
@@ -643,7 +646,7 @@
         let dear = self.set.classes[request.class.0].worth * self.set.classes.len() as f64 / worths;
         let fair = FAIR * dear * mean_kb * limit / load;
         let floor = self.set.classes[request.class.0].lowest_rung;
-        let most = self.room_kb(s, limit).min(fair);
+        let most = self.room_kb(s, limit).min(fair).min(self.limits.terms(request, s.entry.streamer).most_kb);
         let fits = |r: &usize| self.set.rate_kb(request.class, *r) <= most;
         (floor..=self.set.top_rung(request)).rev().find(fits).unwrap_or(floor)
     }
@@ -656,7 +659,9 @@
             let class = &self.set.classes[session.request.class.0];
             let low = session.rung.saturating_sub(usize::from(!up));
             let most = self.set.top_rung(&session.request);
-            let may = if up { low < most } else { session.rung > class.lowest_rung };
+            let terms = self.limits.terms(&session.request, s.entry.streamer);
+            let free = self.set.rate_kb(session.request.class, low + 1) <= terms.most_kb;
+            let may = if up { low < most && free } else { session.rung > class.lowest_rung };
             if may && session.playing && session.changed_at + quiet <= self.now {
                 let gap = |ladder: &[f64]| ladder[low + 1] - ladder[low];
                 let kb = (gap(&self.set.ladder_kb) * class.scale).max(1e-9);
@@ -715,7 +720,7 @@
         for (_, step, id, at) in steps {
             let s = &self.streamers[&at];
             let fits = !up || step <= (RAISE - self.link_load(s)) * s.link.cap_kb;
-            if fits && self.takes(step, kb) {
+            if fits && kb > 0.0 && (kb >= step || self.chance() * step < kb) {
                 let rung = self.sessions[&id].rung;
                 self.rate(id, if up { rung + 1 } else { rung - 1 }, out);
             }
@@ -725,11 +730,6 @@
         link.or(self.racks.get_mut(&rack)).filter(|_| any).into_iter().for_each(|g| g.stepped_at = now);
     }
 
-    /// Whether it takes a whole step where its part is `share` (randomised rounding under one step).
-    fn takes(&mut self, step: f64, share: f64) -> bool {
-        share > 0.0 && (share >= step || self.chance() * step < share)
-    }
-
     // ---- 5. Health: one suspicion for all evidence --------------------------------------------------------
 
     fn suspicion(&self, s: &Streamer) -> f64 {
@@ -867,7 +867,7 @@
         let request = &session.request;
         let class = &self.set.classes[request.class.0];
         let holds = self.set.holds(request, &s.entry) && s.entry.standing == Standing::Up;
-        let open = session.streamer.is_none() && !session.answered;
+        let open = session.streamer.is_none() && !session.answered && self.limits.terms(request, at).open;
         let seat = self.seats.get(&(request.title, request.class)).copied().unwrap_or(0);
         let seated = class.seats == 0 || seat < class.seats;
         let harmless = match (session.may_have_run, class.effect) {
@@ -892,9 +892,9 @@
         self.rate(id, rung, out);
         let turn = self.streamers.get(&at).filter(|s| self.is_cold(s)).and_then(|s| self.cold_turn(s));
         let now = self.now;
-        let (Some(s), Some(session)) = (self.streamers.get_mut(&at), self.sessions.get_mut(&id)) else {
-            return;
-        };
+        let (s, session) = (self.streamers.get_mut(&at), self.sessions.get_mut(&id));
+        let (Some(s), Some(session)) = (s, session) else { return };
+        self.limits.sent(&session.request, at, session.rung);
         (s.cold_turn, s.trial_at) = (turn.or(s.cold_turn), s.trial_at.max(now + TRIAL_US));
         s.linked_until = now + self.set.keep_us;
         let class = &self.set.classes[session.request.class.0];
@@ -932,11 +932,10 @@
         let harmless = session.may_have_run.is_none()
             || class.effect == Effect::Idempotent
             || (class.effect == Effect::Deduplicated && class.dedup_scope == DedupScope::All);
-        self.sessions.remove(&id);
+        let request = self.sessions.remove(&id).map(|s| s.request).unwrap_or_default();
         if harmless {
-            // Spread hints, so that those turned away together do not come back together.
-            let spread = 0.25 + 0.5 * self.chance();
-            let hold_off_us = (self.set.max_hold_off_us as f64 * spread) as Micros;
+            let (most, chance) = (self.set.max_hold_off_us, self.chance());
+            let hold_off_us = self.limits.hold_off(&request, most, chance);
             out.push(Action::Refuse { request: id, hold_off_us });
         } else {
             out.push(Action::EndFailed(id));
@@ -971,6 +970,7 @@
         let before = std::mem::replace(&mut session.rung, rung.min(self.set.ladder_kb.len() - 1));
         session.changed_at = if told { session.changed_at } else { now };
         let (class, after, at) = (session.request.class, session.rung, session.streamer);
+        self.limits.rated(id, after);
         if let Some(at) = at {
             self.book(at, self.set.rate_kb(class, after) - self.set.rate_kb(class, before), 0);
         }
--- a/tests/unchanged.rs
+++ b/tests/unchanged.rs
@@ -37,10 +37,14 @@
 }
 
 /// Plays a seeded world of two zones with failures, restarts and shortages; returns the digest.
-fn play(seed: u64) -> u64 {
+fn play(seed: u64, limits: Option<Box<dyn Limits>>) -> u64 {
     let mut dice = ChaCha8Rng::seed_from_u64(seed ^ 0x5eed);
     let mut roll = |n: u64| dice.next_u64() % n;
-    let mut controller = Controller::new(world_settings(seed), seed, 0).expect("settings");
+    let controller = Controller::new(world_settings(seed), seed, 0).expect("settings");
+    let mut controller = match limits {
+        Some(limits) => controller.limited(limits),
+        None => controller,
+    };
     let (mut now, mut hash) = (0, 0xcbf2_9ce4_8422_2325);
     let mut out = Vec::new();
     let entries = (0..STREAMERS).map(place).collect();
@@ -144,8 +148,25 @@
     0xaae13221b06a1b97,
 ];
 
+/// Limits that are asked and told, and limit nothing.
+struct Free;
+
+impl Limits for Free {
+    fn hear(&mut self, _: Micros, _: &Event, _: &mut dyn FnMut(String)) {}
+    fn sent(&mut self, _: Micros, _: &Request, _: StreamerId, _: usize) {}
+    fn terms(&self, _: Micros, _: &Request, _: StreamerId) -> Terms {
+        Terms::FREE
+    }
+}
+
 #[test]
 fn actions_without_limits_are_as_before_the_seam() {
-    let now: Vec<u64> = (0..BEFORE.len() as u64).map(play).collect();
+    let now: Vec<u64> = (0..BEFORE.len() as u64).map(|seed| play(seed, None)).collect();
     assert_eq!(now, BEFORE, "a decision changed");
 }
+
+#[test]
+fn limits_that_limit_nothing_change_nothing() {
+    let now: Vec<u64> = (0..BEFORE.len() as u64).map(|seed| play(seed, Some(Box::new(Free)))).collect();
+    assert_eq!(now, BEFORE, "the seam itself changed a decision");
+}
