Add a command line, JSON logs, an operator file in HCL, and the halls' state machine (off)

Settings come as HCL (hcl-rs and hcl-edit: serde for values, spans for lines), refused as a whole with file, line and what is allowed, a slip with the word that was meant (strsim); SIGHUP takes them over all or nothing. The command line is clap's: no arguments serve as before; serve, check and completions are new. Logs can be JSON (slog-json).

stonewharf-halls is sans-I/O: evidence over different streamers by Wald's sequential test, states whole, doubtful, lost and returning, a spill account in parts by controllers that backs off additively, and a return in steps that only ever shuts what the module's cold pace leaves open. It reaches the module through the seam.

--- a/crates/core/src/director/mod.rs
+++ b/crates/core/src/director/mod.rs
@@ -10,6 +10,7 @@
 pub use messages::*;
 
 use crate::interface::*;
+use crate::limits::Limits;
 use crate::rules::Controller;
 use ledger::{Ledger, Outbox};
 
@@ -27,6 +28,11 @@
         Ok(Director { controller: Controller::new(settings, seed, now)?, ledger, outbox: Outbox::default() })
     }
 
+    /// This director with a subsystem's limits on the module's choice, from its start on.
+    pub fn limited(self, limits: Box<dyn Limits>) -> Self {
+        Director { controller: self.controller.limited(limits), ..self }
+    }
+
     /// One turn: books all that has come in, hands it to the module in one go, returns what is to be done.
     pub fn turn(&mut self, now: Micros, inputs: impl IntoIterator<Item = Input>) -> Vec<Deed> {
         for input in inputs {
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -51,6 +51,8 @@
     membership_mode: String,
     my_zone: String,
     #[serde(default)]
+    dcs: Vec<String>,
+    #[serde(default)]
     kinds: Vec<String>,
     #[serde(default)]
     deductions: BTreeMap<String, f64>,
@@ -350,6 +352,7 @@
     /// Streamers, by their ids.
     pub streamers: Names,
     zones: Names,
+    halls: Vec<String>,
     classes: Vec<String>,
     tenants: Vec<String>,
     kinds: Vec<String>,
@@ -366,6 +369,7 @@
         let vocabulary = Vocabulary {
             streamers: Names::default(),
             zones,
+            halls: info.dcs.clone(),
             classes: info.lanes.iter().map(|l| l.name.clone()).collect(),
             tenants: info.accounts.iter().map(|a| a.name.clone()).collect(),
             kinds: info.kinds.clone(),
@@ -375,6 +379,21 @@
         Ok((settings, vocabulary, Carriage::of(info)))
     }
 
+    /// The names of all classes.
+    pub fn classes(&self) -> &[String] {
+        &self.classes
+    }
+
+    /// The names of all zones, where the settings have them; else none.
+    pub fn zones(&self) -> &[String] {
+        &self.halls
+    }
+
+    /// The number of a zone.
+    pub fn zone(&mut self, name: &str) -> ZoneId {
+        ZoneId(self.zones.id(name))
+    }
+
     /// The number of a class.
     pub fn class(&self, name: &str) -> Result<ClassId, NameError> {
         let class = self.classes.iter().position(|c| c == name);
--- /dev/null
+++ b/crates/halls/src/limits.rs
@@ -0,0 +1,476 @@
+//! All halls together, behind the core's seam: tells each hall its signs, finds which requests spill, and
+//! states the terms. Where all halls are lost none is shut: then no judgement is better than none.
+use crate::evidence::Sign;
+use crate::hall::{Change, Hall, State};
+use crate::settings::{HallSettings, Prefer};
+use crate::spill::Spill;
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
+use std::rc::Rc;
+use stonewharf_core::{
+    ClassId, Effect, Event, Limits, ListScope, LoadReport, Micros, NoteKind, Outcome, Request, RequestId,
+    Settings, Standing, StreamerId, Terms, ZoneId,
+};
+
+const SECOND: Micros = 1_000_000;
+/// Load of a link or uplink, or missing delivery, from which a hall runs short.
+const SHORT_LOAD: f64 = 1.0;
+const SHORT_DELIVERY: f64 = 0.98;
+/// Seconds over which the usual arrivals are taken, while all halls are settled.
+const USUAL_S: f64 = 30.0;
+/// A first try beyond this multiple of the usual arrivals is taken for one that comes from a lost hall.
+const OWN_MORE: f64 = 1.25;
+/// Least depth of the bucket for own first tries, so that chance alone makes nobody a stranger.
+const OWN_DEPTH: f64 = 3.0;
+
+/// Where a streamer stands.
+struct Place {
+    hall: ZoneId,
+    rack: u32,
+    kb: f64,
+    up: bool,
+    started_at: Option<Micros>,
+}
+
+/// What is kept of a request while halls are not all settled.
+#[derive(Clone, Copy, Default)]
+struct Mark {
+    /// It came from a lost hall, as far as can be told.
+    spills: bool,
+    /// An attempt of it failed in this hall.
+    failed_in: Option<ZoneId>,
+}
+
+/// The halls as one controller sees them.
+pub struct Halls {
+    own: HallSettings,
+    set: Settings,
+    /// Rank of halls by class, where an order is stated.
+    order: Vec<BTreeMap<ZoneId, u32>>,
+    directors: BTreeMap<ZoneId, u32>,
+    names: BTreeMap<ZoneId, String>,
+    halls: BTreeMap<ZoneId, Hall>,
+    links_kb: BTreeMap<ZoneId, f64>,
+    streamers: HashMap<StreamerId, Place>,
+    spill: Spill,
+    /// Requests with a mark, and when it may go.
+    marks: HashMap<RequestId, Mark>,
+    fading: VecDeque<(Micros, RequestId)>,
+    /// Own sessions, out or standing.
+    held: HashMap<RequestId, (StreamerId, ClassId)>,
+    held_when_settled: f64,
+    /// First tries a second while all is settled, and the bucket that lets as many pass as own.
+    usual_per_s: f64,
+    counted_at: Micros,
+    own_tokens: f64,
+    tokens_at: Micros,
+    began: Micros,
+    settled: bool,
+}
+
+/// Halls that a controller and its operator share: the controller asks through the seam, the operator reads
+/// the state and changes the settings under way.
+#[derive(Clone)]
+pub struct SharedHalls(pub Rc<RefCell<Halls>>);
+
+impl SharedHalls {
+    /// The halls, to be handed to a controller and kept.
+    pub fn new(halls: Halls) -> Self {
+        SharedHalls(Rc::new(RefCell::new(halls)))
+    }
+}
+
+impl Limits for SharedHalls {
+    fn hear(&mut self, now: Micros, event: &Event, news: &mut dyn FnMut(String)) {
+        self.0.borrow_mut().hear(now, event, news);
+    }
+    fn sent(&mut self, now: Micros, request: &Request, streamer: StreamerId, rung: usize) {
+        self.0.borrow_mut().sent(now, request, streamer, rung);
+    }
+    fn rated(&mut self, request: RequestId, rung: usize) {
+        self.0.borrow_mut().rated(request, rung);
+    }
+    fn terms(&self, now: Micros, request: &Request, streamer: StreamerId) -> Terms {
+        self.0.borrow().terms(now, request, streamer)
+    }
+    fn hold_off(&self, now: Micros, request: &Request, most: Micros, chance: f64) -> Option<Micros> {
+        self.0.borrow().hold_off(now, request, most, chance)
+    }
+}
+
+impl Halls {
+    /// The halls of a deployment, all taken for whole. `class` and `zone` give the numbers of names; a class
+    /// that the deployment does not have is left out.
+    pub fn new(
+        own: HallSettings,
+        set: &Settings,
+        now: Micros,
+        class: impl Fn(&str) -> Option<usize>,
+        zone: impl FnMut(&str) -> ZoneId,
+    ) -> Self {
+        let mut halls = Halls {
+            own: HallSettings::default(),
+            set: set.clone(),
+            order: Vec::new(),
+            directors: BTreeMap::new(),
+            names: BTreeMap::new(),
+            halls: BTreeMap::new(),
+            links_kb: BTreeMap::new(),
+            streamers: HashMap::new(),
+            spill: Spill::new(now),
+            marks: HashMap::new(),
+            fading: VecDeque::new(),
+            held: HashMap::new(),
+            held_when_settled: 0.0,
+            usual_per_s: 0.0,
+            counted_at: now,
+            own_tokens: OWN_DEPTH,
+            tokens_at: now,
+            began: now,
+            settled: true,
+        };
+        halls.configure(own, class, zone);
+        halls
+    }
+
+    /// Takes other settings under way; what is known of the halls stays.
+    pub fn configure(
+        &mut self,
+        own: HallSettings,
+        class: impl Fn(&str) -> Option<usize>,
+        mut zone: impl FnMut(&str) -> ZoneId,
+    ) {
+        self.order = vec![BTreeMap::new(); self.set.classes.len()];
+        for (name, order) in &own.order {
+            if let Some(ranks) = class(name).and_then(|c| self.order.get_mut(c)) {
+                ranks.extend(order.iter().enumerate().map(|(i, hall)| (zone(hall), i as u32)));
+            }
+        }
+        self.names = own.hall.keys().map(|name| (zone(name), name.clone())).collect();
+        let stated = own.hall.iter().filter(|(_, block)| block.directors > 0);
+        self.directors = stated.map(|(name, block)| (zone(name), block.directors)).collect();
+        self.own = own;
+        self.restate();
+    }
+
+    /// The state of a hall; one that is not on the list is whole.
+    pub fn state(&self, hall: ZoneId) -> State {
+        self.halls.get(&hall).map_or(State::Whole, Hall::state)
+    }
+
+    /// The account of what spills.
+    pub fn spill(&self) -> &Spill {
+        &self.spill
+    }
+
+    fn name(&self, hall: ZoneId) -> String {
+        self.names.get(&hall).cloned().unwrap_or_else(|| format!("number {}", hall.0))
+    }
+
+    /// Whether a hall is shut: lost, while another stands.
+    fn shut(&self, hall: ZoneId) -> bool {
+        self.halls.get(&hall).is_some_and(Hall::is_lost) && !self.halls.values().all(Hall::is_lost)
+    }
+
+    /// Rank of a hall for a class: by the order that is stated, else by the preference.
+    fn tier(&self, class: usize, hall: ZoneId) -> u32 {
+        match self.order.get(class).filter(|order| !order.is_empty()) {
+            Some(order) => order.get(&hall).copied().unwrap_or(order.len() as u32),
+            None => u32::from(self.own.prefer == Prefer::Home && hall != self.set.my_zone),
+        }
+    }
+
+    fn mark(&self, id: RequestId) -> Mark {
+        self.marks.get(&id).copied().unwrap_or_default()
+    }
+
+    /// Whether a set-up in a hall counts as spilled: its viewer comes from a lost hall, it crosses from one, or
+    /// its tier is not the first.
+    fn spills(&self, request: &Request, hall: ZoneId) -> bool {
+        let away = hall != self.set.my_zone && !self.is_settled(self.set.my_zone);
+        away || self.mark(request.id).spills || self.tier(request.class.0, hall) > 0
+    }
+
+    fn is_settled(&self, hall: ZoneId) -> bool {
+        self.halls.get(&hall).is_none_or(Hall::is_settled)
+    }
+
+    /// States anew this controller's part of the spill limit, from the list and the state of the halls.
+    fn restate(&mut self) {
+        let all: f64 = self.links_kb.values().sum::<f64>().max(1.0);
+        let open: f64 = self.links_kb.iter().filter(|(z, _)| !self.shut(**z)).map(|(_, kb)| kb).sum();
+        // Viewers of a lost hall come to the directors of the others; where the own hall is lost and its
+        // directors live on, they are the ones that send across. In proportion to links where none is stated.
+        let n = f64::from(self.set.controllers);
+        let of = |zone: &ZoneId, kb: &f64| match self.directors.get(zone) {
+            Some(stated) => f64::from(*stated),
+            None => n * kb / all,
+        };
+        let home_lost = !self.is_settled(self.set.my_zone);
+        let sending = |zone: &&ZoneId| (**zone == self.set.my_zone) == home_lost || !self.shut(**zone);
+        let senders: f64 = self.links_kb.iter().filter(|(z, _)| sending(z)).map(|(z, kb)| of(z, kb)).sum();
+        let senders = senders.clamp(1.0, n.max(1.0));
+        let rate = if self.own.spill_rate > 0.0 { self.own.spill_rate / senders } else { f64::INFINITY };
+        let more = ((all - open) / open.max(1.0)).clamp(0.25, 4.0);
+        let expected = (self.held_when_settled * more).max(self.spill.sessions() as f64 + 1.0);
+        self.spill.state(self.own.spill_share * open / senders, rate, expected);
+    }
+
+    fn relist(
+        &mut self,
+        scope: ListScope,
+        entries: &[stonewharf_core::Entry],
+        now: Micros,
+    ) -> Vec<(ZoneId, Change)> {
+        if matches!(scope, ListScope::Full | ListScope::Cached) {
+            self.streamers.values_mut().for_each(|p| p.up = false);
+        }
+        let mut changes = Vec::new();
+        for entry in entries {
+            let kb = (entry.weight * self.set.weight_kb).clamp(1.0, self.set.fleet_kb.max(1.0));
+            let up = entry.standing == Standing::Up;
+            let place = Place {
+                hall: entry.zone,
+                rack: self.set.rack_of(entry),
+                kb,
+                up,
+                started_at: entry.started_at,
+            };
+            let (warm, cold) = (self.set.warm_up_us, self.set.cold_from);
+            let hall = self.halls.entry(entry.zone).or_insert_with(|| Hall::new(now, warm, cold));
+            if !up {
+                hall.left(entry.streamer);
+            }
+            let before = self.streamers.insert(entry.streamer, place).and_then(|p| p.started_at);
+            if let Some(at) = entry.started_at.filter(|at| up && before.is_none_or(|b| *at > b)) {
+                changes.extend(hall.restarted(now, at).map(|c| (entry.zone, c)));
+            }
+        }
+        // Capacity of each hall: its racks' uplinks where these are less than their links.
+        let mut racks: BTreeMap<(ZoneId, u32), f64> = BTreeMap::new();
+        for p in self.streamers.values().filter(|p| p.up) {
+            *racks.entry((p.hall, p.rack)).or_default() += p.kb;
+        }
+        let held_up: BTreeSet<ZoneId> = racks.keys().map(|(zone, _)| *zone).collect();
+        let mut links: BTreeMap<ZoneId, f64> = BTreeMap::new();
+        for ((zone, _), kb) in racks {
+            *links.entry(zone).or_default() += kb.min(self.set.rack_kb);
+        }
+        for (zone, hall) in &mut self.halls {
+            match links.get(zone) {
+                // Capacity of an emptied hall is remembered: it is what its viewers had.
+                None if !held_up.contains(zone) => {
+                    changes.extend(hall.emptied(now, &self.own).map(|c| (*zone, c)));
+                }
+                Some(kb) => {
+                    self.links_kb.insert(*zone, *kb);
+                }
+                None => {}
+            }
+        }
+        let used: HashSet<StreamerId> = self.held.values().map(|(at, _)| *at).collect();
+        self.streamers.retain(|id, p| p.up || used.contains(id));
+        changes
+    }
+
+    fn sign(&mut self, now: Micros, from: StreamerId, sign: Sign) -> Option<(ZoneId, Change)> {
+        let place = self.streamers.get(&from)?;
+        let hall = self.halls.get_mut(&place.hall)?;
+        // One that leaves as planned says nothing of its hall.
+        let counts = place.up || sign == Sign::Reachable;
+        hall.sign(now, from, sign, &self.own).filter(|_| counts).map(|change| (place.hall, change))
+    }
+
+    /// A request has come: while halls are not settled, finds out whether it spills.
+    fn wanted(&mut self, now: Micros, request: &Request) {
+        if self.settled {
+            let passed = now.saturating_sub(self.counted_at) as f64 / SECOND as f64;
+            let keep = (-passed / USUAL_S).exp();
+            // A rate by exponential smoothing; young averages are taken over the time that there was.
+            let span = (now.saturating_sub(self.began) as f64 / SECOND as f64).clamp(1.0, USUAL_S);
+            self.usual_per_s = self.usual_per_s * keep + if request.returned { 0.0 } else { 1.0 / span };
+            self.counted_at = now;
+            return;
+        }
+        let depth = OWN_DEPTH.max(self.usual_per_s);
+        let passed = now.saturating_sub(self.tokens_at) as f64 / SECOND as f64;
+        self.own_tokens = (self.own_tokens + passed * OWN_MORE * self.usual_per_s).min(depth);
+        self.tokens_at = now;
+        let own = !request.returned && self.own_tokens >= 1.0;
+        self.own_tokens -= f64::from(u8::from(own));
+        self.set_mark(now, request.id, |m| m.spills = !own);
+    }
+
+    fn set_mark(&mut self, now: Micros, id: RequestId, change: impl FnOnce(&mut Mark)) {
+        if !self.marks.contains_key(&id) {
+            self.fading.push_back((now + 10 * SECOND, id));
+        }
+        change(self.marks.entry(id).or_default());
+    }
+
+    fn short(&mut self, now: Micros, at: StreamerId) {
+        let hall = self.streamers.get(&at).map(|p| p.hall);
+        if !self.settled && hall.is_some_and(|h| !self.shut(h)) {
+            self.spill.back_off(now);
+        }
+    }
+
+    fn reported(&mut self, now: Micros, at: StreamerId, report: &LoadReport) {
+        if report.link.or(report.uplink).is_some_and(|x| x.max(report.uplink.unwrap_or(0.0)) > SHORT_LOAD) {
+            self.short(now, at);
+        }
+    }
+
+    fn pass(&mut self, now: Micros) -> Vec<(ZoneId, Change)> {
+        while let Some((_, id)) = self.fading.front().copied().filter(|f| f.0 <= now) {
+            self.fading.pop_front();
+            self.marks.remove(&id);
+        }
+        let own = &self.own;
+        let passed = self.halls.iter_mut().filter_map(|(zone, hall)| Some((*zone, hall.pass(now, own)?)));
+        passed.collect()
+    }
+}
+
+impl Limits for Halls {
+    fn hear(&mut self, now: Micros, event: &Event, news: &mut dyn FnMut(String)) {
+        let mut changes = match event {
+            Event::Timer(_) => self.pass(now),
+            Event::List { scope: ListScope::Failed, .. } => Vec::new(),
+            Event::List { scope, entries } => {
+                let changes = self.relist(*scope, entries, now);
+                self.restate();
+                changes
+            }
+            _ => Vec::new(),
+        };
+        let sign = match event {
+            Event::Inbound(request) => {
+                self.wanted(now, request);
+                None
+            }
+            Event::Preexisting(request, at) => {
+                self.held.insert(request.id, (*at, request.class));
+                None
+            }
+            Event::Started { streamer, .. } => Some((*streamer, Sign::Reachable)),
+            Event::Note { streamer, kind, value, .. } => {
+                let short = match kind {
+                    NoteKind::Delivered => *value > 0.0 && *value < SHORT_DELIVERY,
+                    NoteKind::LinkUse | NoteKind::UplinkUse => *value > SHORT_LOAD,
+                    NoteKind::Rung => false,
+                };
+                if short {
+                    self.short(now, *streamer);
+                }
+                Some((*streamer, Sign::Reachable))
+            }
+            Event::Ended { request, streamer, outcome, report, .. } => {
+                self.held.remove(request);
+                self.spill.remove(*request);
+                self.reported(now, *streamer, report);
+                let sign = match outcome {
+                    Outcome::Ok | Outcome::Failed | Outcome::QueueFull | Outcome::Garbled => {
+                        Some(Sign::Reachable)
+                    }
+                    Outcome::ConnectError => Some(Sign::Unreachable),
+                    Outcome::TimedOut => Some(Sign::Silent),
+                    Outcome::Reset => Some(Sign::Cut),
+                    Outcome::Canceled | Outcome::Ignored => None,
+                };
+                if sign.is_some_and(|s| s != Sign::Reachable)
+                    && let Some(hall) = self.streamers.get(streamer).map(|p| p.hall)
+                {
+                    self.set_mark(now, *request, |m| m.failed_in = Some(hall));
+                }
+                sign.map(|s| (*streamer, s))
+            }
+            Event::Probed { streamer, outcome, report } => {
+                self.reported(now, *streamer, report);
+                match outcome {
+                    Outcome::Ok => Some((*streamer, Sign::Reachable)),
+                    Outcome::ConnectError => Some((*streamer, Sign::Unreachable)),
+                    Outcome::TimedOut => Some((*streamer, Sign::Silent)),
+                    _ => None,
+                }
+            }
+            Event::ClientGone(_) | Event::Timer(_) | Event::List { .. } => None,
+        };
+        changes.extend(sign.and_then(|(from, sign)| self.sign(now, from, sign)));
+        if changes.is_empty() {
+            return;
+        }
+        let was_settled = self.settled;
+        self.settled = self.halls.values().all(Hall::is_settled);
+        if was_settled && !self.settled {
+            self.held_when_settled = self.held.len() as f64;
+            (self.own_tokens, self.tokens_at) = (OWN_DEPTH, now);
+        }
+        self.restate();
+        for (zone, change) in changes.into_iter().filter(|_| self.own.enabled) {
+            let name = self.name(zone);
+            news(match change {
+                Change::Lost(0) => format!("hall {name} is lost: the list says that nothing in it runs"),
+                Change::Lost(n) => format!("hall {name} is lost: {n} different streamers cannot be reached"),
+                Change::Dropped(n) => format!("hall {name} is lost again while it returned, time {n}"),
+                Change::Returns => format!("hall {name} returns, load is raised in steps"),
+                Change::Back => format!("hall {name} is back"),
+            });
+        }
+    }
+
+    fn sent(&mut self, now: Micros, request: &Request, streamer: StreamerId, rung: usize) {
+        self.held.insert(request.id, (streamer, request.class));
+        let Some(zone) = self.streamers.get(&streamer).map(|p| p.hall) else { return };
+        if self.spills(request, zone) {
+            self.spill.add(now, request.id, self.set.rate_kb(request.class, rung));
+            self.set_mark(now, request.id, |m| m.spills = true);
+        }
+        let own = &self.own;
+        if let Some(hall) = self.halls.get_mut(&zone) {
+            hall.tried(now, own);
+        }
+    }
+
+    fn rated(&mut self, request: RequestId, rung: usize) {
+        if let Some((_, class)) = self.held.get(&request) {
+            self.spill.rate(request, self.set.rate_kb(*class, rung));
+        }
+    }
+
+    fn terms(&self, now: Micros, request: &Request, streamer: StreamerId) -> Terms {
+        let Some(place) = self.streamers.get(&streamer).filter(|_| self.own.enabled) else {
+            return Terms::FREE;
+        };
+        let Some(hall) = self.halls.get(&place.hall) else { return Terms::FREE };
+        let mark = if self.marks.is_empty() { Mark::default() } else { self.mark(request.id) };
+        let class = &self.set.classes[request.class.0];
+        let mut tier = self.tier(request.class.0, place.hall);
+        if self.shut(place.hall) {
+            // A trial goes first, by a session that can be set up again elsewhere in time.
+            let harmless = class.effect == Effect::Idempotent && mark.failed_in.is_none();
+            let open = harmless && hall.trial_due(now);
+            return Terms { tier: 0, open, most_kb: f64::INFINITY };
+        }
+        if !self.settled && self.halls.values().any(|h| h.trial_due(now)) {
+            tier += 1;
+        }
+        tier += u32::from(mark.failed_in == Some(place.hall));
+        // Where all halls are lost, none is shut.
+        let open = hall.is_lost() || hall.open(now, streamer, &self.own);
+        let mut terms = Terms { tier, open, most_kb: f64::INFINITY };
+        if self.spills(request, place.hall) {
+            let least = self.set.rate_kb(request.class, class.lowest_rung);
+            match self.spill.most_kb(now, request.id, least) {
+                Some(most) => terms.most_kb = most,
+                None => terms.open = false,
+            }
+        }
+        terms
+    }
+
+    fn hold_off(&self, _now: Micros, _request: &Request, most: Micros, chance: f64) -> Option<Micros> {
+        // All that come from a lost hall come at once: their returns are spread over all the time there is.
+        (self.own.enabled && !self.settled).then_some((most as f64 * (0.25 + 0.75 * chance)) as Micros)
+    }
+}
--- /dev/null
+++ b/crates/operator/src/lib.rs
@@ -0,0 +1,142 @@
+//! The operator file: what this project's own subsystems are set to, as HCL. Text goes in; checked settings or
+//! one line come out that names the place and what is allowed there. Reads no files and keeps no state: whoever
+//! has the text decides what to do with the result, all or nothing.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod places;
+
+use places::Places;
+use serde::{Deserialize, Serialize};
+use stonewharf_halls::HallSettings;
+
+/// The largest operator file, bytes: far above what any needs.
+pub const LARGEST: usize = 1 << 20;
+/// How like an allowed word an unknown one must be to be taken for a slip (Jaro-Winkler, 0 to 1).
+const ALIKE: f64 = 0.8;
+
+/// All settings of the operator file. A block that is absent is off.
+#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Operator {
+    /// Loss and return of a hall.
+    pub halls: Option<HallSettings>,
+}
+
+/// What is wrong with an operator file.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{file}:{line}: {what}")]
+pub struct OperatorError {
+    /// The file, as it was named.
+    pub file: String,
+    /// The line, from 1.
+    pub line: usize,
+    /// What is wrong, and what is allowed.
+    pub what: String,
+}
+
+/// Names that a deployment has; none where they are not known, and then any is taken.
+#[derive(Clone, Debug, Default)]
+pub struct Known {
+    /// Classes of sessions.
+    pub classes: Vec<String>,
+    /// Halls.
+    pub halls: Vec<String>,
+}
+
+impl Operator {
+    /// Reads and checks the text of an operator file; `file` names it in errors.
+    pub fn parse(file: &str, text: &str) -> Result<Operator, OperatorError> {
+        Operator::parse_for(file, text, &Known::default())
+    }
+
+    /// The same for a deployment, whose names the file may use and no others.
+    pub fn parse_for(file: &str, text: &str, known: &Known) -> Result<Operator, OperatorError> {
+        let error =
+            |line: usize, what: String| OperatorError { file: file.to_owned(), line: line.max(1), what };
+        if text.len() > LARGEST {
+            return Err(error(1, format!("the file has {} bytes; {LARGEST} at most are read", text.len())));
+        }
+        let places = Places::read(text).map_err(|(line, why)| error(line, why))?;
+        if let Some((line, path)) = places.repeated() {
+            return Err(error(line, format!("{path} stands here a second time; once is allowed")));
+        }
+        let body: hcl::Value = hcl::from_str(text).map_err(|why| error(1, one_line(&why.to_string())))?;
+        let operator: Operator = serde_path_to_error::deserialize(
+            serde::de::IntoDeserializer::into_deserializer(body),
+        )
+        .map_err(|why| {
+            let (path, what) = (why.path().to_string(), one_line(&why.inner().to_string()));
+            let (at, what) = explain(&path, &what);
+            error(places.line(&at), what)
+        })?;
+        if let Some(halls) = &operator.halls {
+            halls
+                .check()
+                .map_err(|why| error(places.line(&format!("halls.{}", why.key)), format!("halls.{why}")))?;
+            let classes =
+                halls.order.keys().map(|c| ("class", c, format!("halls.order.{c}"), &known.classes));
+            let named = halls.hall.keys().map(|h| ("hall", h, format!("halls.hall.{h}"), &known.halls));
+            for (what, name, path, names) in classes.chain(named) {
+                if !names.is_empty() && !names.contains(name) {
+                    let has = names.join(", ");
+                    let what = format!("the deployment has no {what} {name:?}; it has {has}");
+                    return Err(error(places.line(&path), what));
+                }
+            }
+        }
+        Ok(operator)
+    }
+
+    /// The settings in force, as HCL: what was given and the defaults of the blocks that are there.
+    pub fn effective(&self) -> String {
+        let mut text = String::new();
+        if let Some(halls) = &self.halls {
+            // `hall` is a block with a label in the file; the rest are attributes.
+            let mut attributes = halls.clone();
+            let named = std::mem::take(&mut attributes.hall);
+            let body = hcl::to_string(&attributes).unwrap_or_default();
+            text.push_str("halls {\n");
+            for line in body.lines().filter(|l| !l.starts_with("hall = ")) {
+                text.push_str(&format!("  {line}\n"));
+            }
+            for (name, block) in named {
+                text.push_str(&format!("  hall {name:?} {{ directors = {} }}\n", block.directors));
+            }
+            text.push_str("}\n");
+        }
+        text
+    }
+}
+
+/// The path that an error of serde's is about, and the error in our words, with a suggestion for a slip.
+fn explain(path: &str, what: &str) -> (String, String) {
+    let within = if path == "." { String::new() } else { path.to_owned() };
+    let Some(rest) = what.strip_prefix("unknown field `").or(what.strip_prefix("unknown variant `")) else {
+        let place = if within.is_empty() { String::new() } else { format!("{within}: ") };
+        return (within.clone(), format!("{place}{what}"));
+    };
+    let kind = if what.starts_with("unknown field") { "setting" } else { "value" };
+    let mut words = rest.split('`').step_by(2);
+    let unknown = words.next().unwrap_or_default();
+    let allowed: Vec<&str> = words.collect();
+    // The path of an unknown field ends with it or with the block that it stands in.
+    let parent = within.strip_suffix(unknown).map(|p| p.trim_end_matches('.').to_owned()).unwrap_or(within);
+    let at = match (kind, parent.is_empty()) {
+        ("value", _) => parent.clone(),
+        (_, true) => unknown.to_owned(),
+        (_, false) => format!("{parent}.{unknown}"),
+    };
+    let like = |word: &&&str| strsim::jaro_winkler(unknown, word);
+    let best = allowed.iter().max_by(|a, b| like(a).total_cmp(&like(b))).filter(|w| like(w) >= ALIKE);
+    let mend = match best {
+        Some(word) => format!("did you mean {word}?"),
+        None => format!("allowed are {}", allowed.join(", ")),
+    };
+    let inside = if parent.is_empty() { String::new() } else { format!(" in {parent}") };
+    (at, format!("unknown {kind} {unknown}{inside}; {mend}"))
+}
+
+fn one_line(text: &str) -> String {
+    text.split_whitespace().collect::<Vec<_>>().join(" ")
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 #![deny(unsafe_code)] // but for `net::poll`, which says why
 #![warn(missing_docs)]
 
+pub mod cli;
 pub mod net;
 pub mod platform;
 pub mod wire;
--- a/src/net/logging.rs
+++ b/src/net/logging.rs
@@ -13,10 +13,35 @@
 /// Keeps the log's thread; see [`Guard::finish`].
 pub struct Guard(slog_async::AsyncGuard);
 
+/// How a line is written.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, clap::ValueEnum)]
+pub enum Format {
+    /// For people: time, level, message, then keys and values.
+    #[default]
+    Text,
+    /// For programs: one JSON object a line, with the keys that docs/operators/running.md names.
+    Json,
+}
+
 /// A logger for lines from a level on.
-pub fn to_stderr(level: Level) -> (Logger, Guard) {
-    let decorator = slog_term::PlainDecorator::new(io::stderr());
-    let lines = slog_term::FullFormat::new(decorator).use_utc_timestamp().build();
+pub fn to_stderr(level: Level, format: Format) -> (Logger, Guard) {
+    match format {
+        Format::Text => {
+            let decorator = slog_term::PlainDecorator::new(io::stderr());
+            queued(slog_term::FullFormat::new(decorator).use_utc_timestamp().build(), level)
+        }
+        Format::Json => {
+            let lines = slog_json::Json::new(io::stderr()).add_default_keys().set_flush(true).build();
+            queued(std::sync::Mutex::new(lines).ignore_res(), level)
+        }
+    }
+}
+
+fn queued<D>(lines: D, level: Level) -> (Logger, Guard)
+where
+    D: Drain + Send + 'static,
+    D::Err: std::fmt::Debug,
+{
     let (queued, guard) = slog_async::Async::new(lines.ignore_res())
         .chan_size(QUEUE)
         .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -26,6 +26,8 @@
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use stonewharf_halls::{HallSettings, Halls, SharedHalls};
+use stonewharf_operator::{Known, Operator, OperatorError};
 use streamers::Streamers;
 use viewers::Viewers;
 
@@ -57,6 +59,21 @@
     /// The machine refuses what the loop needs.
     #[error("the loop can't go on: {0}")]
     Loop(#[from] io::Error),
+    /// The operator file is of no use.
+    #[error("operator file {0}")]
+    Operator(#[from] OperatorError),
+    /// The operator file can't be read.
+    #[error("operator file {0}: {1}")]
+    OperatorUnread(String, io::Error),
+}
+
+/// Reads the operator file; with the names of a deployment, for that one.
+pub fn operator(file: &Path, names: Option<&Vocabulary>) -> Result<Operator, NodeError> {
+    let name = file.display().to_string();
+    let bytes = std::fs::read(file).map_err(|why| NodeError::OperatorUnread(name.clone(), why))?;
+    let known = names.map(|n| Known { classes: n.classes().to_vec(), halls: n.zones().to_vec() });
+    let known = known.unwrap_or_default();
+    Ok(Operator::parse_for(&name, &String::from_utf8_lossy(&bytes), &known)?)
 }
 
 /// Unix time, read once, and the monotonic clock from there on: it never goes back, and starts of streamers
@@ -77,6 +94,11 @@
     }
 }
 
+/// The settings of the halls; a block that is absent is off, and may come by a reload.
+fn halls_of(operator: Operator) -> HallSettings {
+    operator.halls.unwrap_or(HallSettings { enabled: false, ..HallSettings::default() })
+}
+
 /// One director on its sockets.
 pub struct Node {
     clock: Clock,
@@ -89,6 +111,8 @@
     streamers: Streamers,
     bulletin: Bulletin,
     file: Option<PathBuf>,
+    /// The operator file and what it set, where one is used.
+    operator: Option<(PathBuf, SharedHalls)>,
     ending: bool,
     done: bool,
 }
@@ -96,10 +120,28 @@
 impl Node {
     /// A director as configured; listens from here on.
     pub fn new(config: &Config, log: Logger) -> Result<Self, NodeError> {
+        Node::with_operator(config, None, log)
+    }
+
+    /// A director as configured, with the operator file that sets our own subsystems.
+    pub fn with_operator(config: &Config, file: Option<&Path>, log: Logger) -> Result<Self, NodeError> {
         let clock = Clock::start();
         let now = clock.now();
-        let (settings, names, carriage) = Vocabulary::read(&config.settings)?;
-        let director = Director::new(settings, config.seed()?, now)?;
+        let (settings, mut names, carriage) = Vocabulary::read(&config.settings)?;
+        let operator = match file {
+            Some(file) => {
+                let own = halls_of(operator(file, Some(&names))?);
+                let (classes, zones) = (names.classes().to_vec(), &mut names);
+                let class = |name: &str| classes.iter().position(|c| c == name);
+                let halls = Halls::new(own, &settings, now, class, |name| zones.zone(name));
+                Some((file.to_owned(), SharedHalls::new(halls)))
+            }
+            None => None,
+        };
+        let mut director = Director::new(settings, config.seed()?, now)?;
+        if let Some((_, halls)) = &operator {
+            director = director.limited(Box::new(halls.clone()));
+        }
         let mut poll = Poll::new()?;
         let signals = Signals::take(&mut poll)?;
         let (deadlines, inputs) = Default::default();
@@ -121,6 +163,7 @@
             streamers,
             bulletin,
             file: config.file().map(Path::to_owned),
+            operator,
             ending,
             done,
         };
@@ -220,13 +263,19 @@
     fn reload(&mut self) {
         let read = || {
             let config = Config::from_file(self.file.as_deref().ok_or(ConfigError::Unnamed)?)?;
-            let (settings, ..) = Vocabulary::read(&config.settings)?;
+            let (settings, names, _) = Vocabulary::read(&config.settings)?;
             Director::new(settings, config.seed()?, self.shared.now)?;
-            Ok::<_, NodeError>(config)
+            let own = self.operator.as_ref().map(|(file, _)| operator(file, Some(&names))).transpose()?;
+            Ok::<_, NodeError>((config, own))
         };
         match read() {
-            Ok(config) => {
+            Ok((config, own)) => {
                 self.shared.counters.reloads += 1;
+                if let (Some(own), Some((_, halls))) = (own, &self.operator) {
+                    let (classes, zones) = (self.names.classes().to_vec(), &mut self.names);
+                    let class = |name: &str| classes.iter().position(|c| c == name);
+                    halls.0.borrow_mut().configure(halls_of(own), class, |name| zones.zone(name));
+                }
                 info!(self.shared.log, "the configuration was read again");
                 self.bulletin.follow(&mut self.shared, config.bulletin);
             }
