Add a model of halls, links and viewers round the real core, and dials as evidence

Designs for the loss of a hall need sizes that sockets do not reach, and figures that a change can be held against. stonewharf-model plays scenarios (HCL) in simulated time round the real core: racks, uplinks, cold streamers, a late list, viewers who come again, losses, cuts, stalls, shortages and restarts. result.json and report.html (minijinja, plots by plotters as SVG); model compare puts two results side by side; who comes is drawn apart from all other chance, so that the offered worth is the same whatever the directors do.

The transport now tells the core whether a connection came up: checks on silent streamers are evidence of a lost hall seconds before their sessions are given up.

--- a/crates/core/src/director/ledger.rs
+++ b/crates/core/src/director/ledger.rs
@@ -162,6 +162,7 @@
                     self.released(streamer, session, number, why, report, out);
                 }
             }
+            Input::Contact { streamer, up } => out.events.push(Event::Contact { streamer, up }),
             Input::Lost(streamer) => self.lost(streamer, Micros::MAX, out),
             Input::Noted { streamer, session, kind, value } => {
                 let stage = self.sessions.get(&session).map(|s| s.stage);
--- a/crates/core/src/director/messages.rs
+++ b/crates/core/src/director/messages.rs
@@ -144,6 +144,13 @@
     },
     /// A streamer is lost, and its sessions with it.
     Lost(StreamerId),
+    /// A connection to a streamer came up, or did not.
+    Contact {
+        /// Which streamer.
+        streamer: StreamerId,
+        /// Whether it came up.
+        up: bool,
+    },
     /// A note on a session that stands.
     Noted {
         /// Which streamer.
--- a/crates/core/src/interface.rs
+++ b/crates/core/src/interface.rs
@@ -464,6 +464,13 @@
         /// The load report that came along.
         report: LoadReport,
     },
+    /// A connection to a streamer came up, or did not; no attempt need have been behind it.
+    Contact {
+        /// Which streamer.
+        streamer: StreamerId,
+        /// Whether it came up.
+        up: bool,
+    },
     /// A timer has come due.
     Timer(TimerTag),
 }
--- a/crates/halls/src/limits.rs
+++ b/crates/halls/src/limits.rs
@@ -185,8 +185,11 @@
     }
 
     /// Whether a set-up in a hall counts as spilled: its viewer comes from a lost hall, it crosses from one, or
-    /// its tier is not the first.
+    /// its tier is not the first. What goes to a hall that returns is its own again, and raised there in steps.
     fn spills(&self, request: &Request, hall: ZoneId) -> bool {
+        if !self.is_settled(hall) {
+            return false;
+        }
         let away = hall != self.set.my_zone && !self.is_settled(self.set.my_zone);
         away || self.mark(request.id).spills || self.tier(request.class.0, hall) > 0
     }
@@ -353,6 +356,9 @@
                 self.held.insert(request.id, (*at, request.class));
                 None
             }
+            Event::Contact { streamer, up } => {
+                Some((*streamer, if *up { Sign::Reachable } else { Sign::Unreachable }))
+            }
             Event::Started { streamer, .. } => Some((*streamer, Sign::Reachable)),
             Event::Note { streamer, kind, value, .. } => {
                 let short = match kind {
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -8,6 +8,8 @@
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use stonewharf_core::SettingsError;
+use stonewharf_model::{Outcome, ReportError, Scenario, ScenarioError};
 
 /// A director of media sessions: admits, places and rates them, and answers each request once.
 ///
@@ -27,6 +29,9 @@
     ///
     /// Exits 1 where something is wrong, with file, line and what is allowed there.
     Check(Files),
+    /// Play scenarios in simulated time round the real core.
+    #[command(subcommand)]
+    Model(Model),
     /// Print completions for a shell.
     Completions {
         /// Which shell.
@@ -34,6 +39,33 @@
     },
 }
 
+#[derive(Subcommand)]
+enum Model {
+    /// Play a scenario and write DIR/result.json and DIR/report.html.
+    ///
+    /// The same seed gives the same bytes, but for wall_s in result.json.
+    Run {
+        /// The scenario (HCL).
+        scenario: PathBuf,
+        /// The seed of all chance in it.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Replace a value of the scenario: a key such as load or operator.spill_share.
+        #[arg(long, value_name = "KEY=VALUE")]
+        set: Vec<String>,
+        /// Where the files go; made where it is not there.
+        #[arg(long, value_name = "DIR")]
+        out: PathBuf,
+    },
+    /// Put two results side by side.
+    Compare {
+        /// A folder of a run, or its result.json.
+        first: PathBuf,
+        /// Another.
+        second: PathBuf,
+    },
+}
+
 #[derive(Args, Default)]
 struct Files {
     /// The director's configuration (JSON); where it is left out, the file that LB_CONFIG names.
@@ -89,6 +121,7 @@
         None => serve(&Serve::default()),
         Some(Command::Serve(args)) => serve(&args),
         Some(Command::Check(files)) => told(check(&files)),
+        Some(Command::Model(model)) => modelled(model),
         Some(Command::Completions { shell }) => {
             clap_complete::generate(shell, &mut Line::command(), "stonewharf", &mut io::stdout());
             ExitCode::SUCCESS
@@ -146,3 +179,75 @@
     let _ = io::stdout().write_all(out.as_bytes()); // whoever closed it has seen enough
     Ok(())
 }
+
+/// A run or comparison of the model that can't be made.
+#[derive(Debug, thiserror::Error)]
+enum ModelError {
+    #[error("{0}: {1}")]
+    File(PathBuf, io::Error),
+    #[error("{0}: no result of a run: {1}")]
+    Json(PathBuf, serde_json::Error),
+    #[error(transparent)]
+    Scenario(#[from] ScenarioError),
+    #[error("unusable settings: {0}")]
+    Settings(#[from] SettingsError),
+    #[error(transparent)]
+    Report(#[from] ReportError),
+}
+
+fn modelled(model: Model) -> ExitCode {
+    let done = match model {
+        Model::Run { scenario, seed, set, out } => model_run(&scenario, seed, &set, &out),
+        Model::Compare { first, second } => result_of(&first).and_then(|first| {
+            let _ = write!(io::stdout(), "{}", stonewharf_model::compare(&first, &result_of(&second)?));
+            Ok(())
+        }),
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(why) => {
+            let _ = writeln!(io::stderr(), "stonewharf: {why}"); // it may be closed
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn model_run(file: &Path, seed: u64, sets: &[String], out: &Path) -> Result<(), ModelError> {
+    let unread = |why| ModelError::File(file.to_owned(), why);
+    let text = String::from_utf8_lossy(&std::fs::read(file).map_err(unread)?).into_owned();
+    let scenario = Scenario::parse(&file.display().to_string(), &text, sets)?;
+    // Drawn on a terminal alone.
+    let bar = indicatif::ProgressBar::new(1_000);
+    let began = std::time::Instant::now();
+    let mut outcome =
+        stonewharf_model::run(&scenario, seed, |done| bar.set_position((done * 1_000.0) as u64))?;
+    bar.finish_and_clear();
+    outcome.wall_s = began.elapsed().as_secs_f64();
+    let page = stonewharf_model::html(&outcome, &scenario.halls)?;
+    let json = serde_json::to_string_pretty(&outcome).map_err(|why| ModelError::Json(out.to_owned(), why))?;
+    std::fs::create_dir_all(out).map_err(|why| ModelError::File(out.to_owned(), why))?;
+    for (name, text) in [("result.json", json + "\n"), ("report.html", page)] {
+        let path = out.join(name);
+        std::fs::write(&path, text).map_err(|why| ModelError::File(path, why))?;
+    }
+    let share = outcome.worth_served / outcome.worth_offered.max(f64::MIN_POSITIVE);
+    let _ = writeln!(
+        io::stdout(),
+        "rules_broken={} worth_share={share:.4} spill={:.0}/{:.0} return_pace_peak={:.2} home_served_share={:.4} \
+         detect_s={:.2} wall_s={:.1}",
+        outcome.rules_broken,
+        outcome.spill_peak,
+        outcome.spill_limit,
+        outcome.return_pace_peak,
+        outcome.home_served_share,
+        outcome.detect_s,
+        outcome.wall_s
+    );
+    Ok(())
+}
+
+fn result_of(path: &Path) -> Result<Outcome, ModelError> {
+    let path = if path.is_dir() { path.join("result.json") } else { path.to_owned() };
+    let text = std::fs::read(&path).map_err(|why| ModelError::File(path.clone(), why))?;
+    serde_json::from_slice(&text).map_err(|why| ModelError::Json(path, why))
+}
--- a/src/net/streamers.rs
+++ b/src/net/streamers.rs
@@ -363,6 +363,7 @@
 
     fn dial_failed(&mut self, shared: &mut Shared, streamer: StreamerId, since: Micros, why: &io::Error) {
         shared.counters.dials_failed += 1;
+        shared.inputs.push(Input::Contact { streamer, up: false });
         debug!(shared.log, "no connection: {why}"; "streamer" => streamer.0);
         let Some(pool) = self.pools.get_mut(&streamer) else { return };
         pool.dial_at = shared.now.saturating_add(REDIAL_US);
@@ -401,6 +402,7 @@
             link.up = true;
             let streamer = link.streamer;
             link.heard_at = shared.now;
+            shared.inputs.push(Input::Contact { streamer, up: true });
             if let Some(pool) = self.pools.get_mut(&streamer) {
                 (pool.heard_at, pool.failing_since) = (shared.now, None);
                 let words = pool.unsaid.drain(..).map(|kept| Saying::Word(kept.1));
