--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -48,6 +48,7 @@
 pub mod limits;
 mod rules;
 pub mod settings;
+mod window;
 
 pub use interface::*;
 pub use limits::{Limits, Terms};
--- a/crates/core/src/limits.rs
+++ b/crates/core/src/limits.rs
@@ -76,6 +76,10 @@
         self.limits.as_ref().map_or(Terms::FREE, |limits| limits.terms(self.now, request, streamer))
     }
 
+    pub(crate) fn open(&self, request: &Request, streamer: StreamerId) -> bool {
+        self.terms(request, streamer).open
+    }
+
     pub(crate) fn tier_cost(&self, request: &Request, streamer: StreamerId) -> f64 {
         TIER * f64::from(self.terms(request, streamer).tier)
     }
--- a/crates/core/src/rules.rs
+++ b/crates/core/src/rules.rs
@@ -3,6 +3,7 @@
 //! Chen & Verma's paper and what departs from it; marks such as [D3] below refer to the list there.
 use crate::interface::*;
 use crate::limits::Seam;
+use crate::window::Window;
 use rand_chacha::ChaCha8Rng;
 use rand_chacha::rand_core::{RngCore, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -41,6 +42,7 @@
 const TURN_S: f64 = 0.4; // a turn at a cold streamer at most, where its pace allows several in one
 const PROBES_PER_SESSION: f64 = 1.5; // probes a session earns: for its set-up and for steps up
 const PROBE_WORTH: f64 = 0.04; // part of a session's worth that a probe brings at most: dearer ones never pay
+const LOOKED_AT: usize = 64; // streamers that a request is weighed against at most
 const ASKS: usize = 2; // streamers asked before a set-up at most: the power of two choices
 const LOOK: f64 = 0.1; // chance to look around in a sweep: controllers must not all ask at once
 const ASKERS: f64 = 10.0; // controllers to one that asks while a step does not yet show
@@ -115,7 +117,7 @@
     own_kb: f64,
     own: usize,
     seen: Option<(Micros, f64)>,
-    changes: VecDeque<(Micros, f64)>,
+    changes: Window,
     short_at: Option<Micros>,
     stepped_at: Micros,
 }
@@ -124,8 +126,7 @@
     /// Books an own set-up, end or change of rung.
     fn change(&mut self, now: Micros, kb: f64) {
         self.own_kb = (self.own_kb + kb).max(0.0);
-        self.changes.push_back((now, kb));
-        self.changes.retain(|c| c.0 + 2 * FRESH_US >= now);
+        self.changes.add(now, kb, 2 * FRESH_US);
     }
 
     /// Takes a report or note of how things stood at `at`, by the part of it that is believed.
@@ -136,7 +137,7 @@
         // Reports are noisy: one moves the account only part of the way from what the last one led to expect.
         let ratio = match self.seen.filter(|s| s.0 + FRESH_US > at) {
             Some((before, was)) => {
-                let expected = (was + (self.since(before) - self.since(at)) / self.cap_kb).max(0.0);
+                let expected = (was + self.changes.between(before, at) / self.cap_kb).max(0.0);
                 expected + belief * (ratio - expected)
             }
             None => ratio,
@@ -148,11 +149,7 @@
     fn load(&self, now: Micros, usual: f64) -> f64 {
         let Some((at, ratio)) = self.seen else { return usual };
         let trust = (-(now.saturating_sub(at) as f64) / (TRUST_S * SECOND)).exp();
-        trust * (ratio + self.since(at) / self.cap_kb).max(0.0) + (1.0 - trust) * usual
-    }
-
-    fn since(&self, at: Micros) -> f64 {
-        self.changes.iter().filter(|c| c.0 > at).map(|c| c.1).sum()
+        trust * (ratio + self.changes.since(at) / self.cap_kb).max(0.0) + (1.0 - trust) * usual
     }
 
     fn fresh(&self, now: Micros) -> bool {
@@ -527,8 +524,12 @@
         let Some(session) = self.sessions.get(&id) else { return };
         let class = session.request.class;
         let limit = if self.own_slot(session) { FULL } else { LENT };
-        let able: Vec<_> = self.streamers.keys().copied().filter(|s| self.may_send(id, *s)).collect();
-        let ranks = able.into_iter().map(|s| {
+        let holders = self.streamers.values().filter(|s| self.set.holds(&session.request, &s.entry));
+        let holders: Vec<_> = holders.map(|s| s.entry.streamer).collect();
+        let step = holders.len().div_ceil(LOOKED_AT).max(1); // of very many a part, another one each time
+        let skip = if step > 1 { (self.chance() * step as f64) as usize } else { 0 };
+        let able = holders.into_iter().skip(skip).step_by(step).filter(|s| self.may_send(id, *s));
+        let ranks = able.collect::<Vec<_>>().into_iter().map(|s| {
             let jitter = self.chance() * JITTER;
             let trial = self.suspicion(&self.streamers[&s]) >= BARRED && self.tries(id);
             let cost = self.cost(&self.sessions[&id], &self.streamers[&s]);
@@ -614,9 +615,8 @@
         while room && self.set.probes && self.set.reports == ReportMode::ProbeOnly && self.probes >= 1.0 {
             let heard = |s: &Streamer| s.link.seen.map_or(0, |x| x.0).max(s.probed_at);
             let old = |s: &Streamer| !s.probe_out && heard(s) + SEEN_QUIET_US < now;
-            let here = self.streamers.values().filter(|s| {
-                !s.sessions.is_empty() && old(s) && !self.steps(s, true, SEEN_QUIET_US).is_empty()
-            });
+            let room = |s: &&Streamer| old(s) && !self.steps(s, true, SEEN_QUIET_US).is_empty();
+            let here = self.streamers.values().filter(room);
             let Some(id) = here.min_by_key(|s| heard(s)).map(|s| s.entry.streamer) else { return };
             self.probes -= 1.0;
             self.streamers.entry(id).and_modify(|s| (s.probed_at, s.probe_out) = (now, true));
@@ -867,7 +867,7 @@
         let request = &session.request;
         let class = &self.set.classes[request.class.0];
         let holds = self.set.holds(request, &s.entry) && s.entry.standing == Standing::Up;
-        let open = session.streamer.is_none() && !session.answered && self.limits.terms(request, at).open;
+        let open = session.streamer.is_none() && !session.answered && self.limits.open(request, at);
         let seat = self.seats.get(&(request.title, request.class)).copied().unwrap_or(0);
         let seated = class.seats == 0 || seat < class.seats;
         let harmless = match (session.may_have_run, class.effect) {
@@ -914,8 +914,8 @@
     fn rate(&mut self, id: RequestId, rung: usize, out: &mut Vec<Action>) {
         let Some(session) = self.sessions.get(&id) else { return };
         let class = &self.set.classes[session.request.class.0];
-        let best = session.request.max_rung.min(class.highest_rung).min(self.set.ladder_kb.len() - 1);
-        let fits = rung >= class.lowest_rung && rung <= best && rung != session.rung;
+        let within = class.lowest_rung..=self.set.top_rung(&session.request);
+        let fits = within.contains(&rung) && rung != session.rung;
         if fits && (session.playing || session.streamer.is_none()) {
             self.set_rung(id, rung, false);
             out.push(Action::Rate { request: id, rung });
@@ -990,8 +990,7 @@
     fn sweep(&mut self, out: &mut Vec<Action>) {
         out.push(Action::Timer { after_us: SWEEP_US, tag: SWEEP });
         let now = self.now;
-        let passed = now.saturating_sub(self.swept_at) as f64 / SECOND;
-        self.swept_at = now;
+        let passed = now.saturating_sub(std::mem::replace(&mut self.swept_at, now)) as f64 / SECOND;
         self.counted_s += passed;
         for session in self.sessions.values().filter(|s| s.playing) {
             self.meters[session.request.class.0].watched_s += passed;
--- /dev/null
+++ b/crates/core/src/window.rs
@@ -0,0 +1,65 @@
+//! A sum over the changes since a moment, over a bounded span of time. A data structure, no decisions.
+use crate::interface::Micros;
+use std::collections::VecDeque;
+
+/// Changes of a quantity as running totals, so that a look-up takes a binary search and not a walk over all
+/// changes of the span: at a thousand requests a second there are thousands.
+#[derive(Debug, Default)]
+pub(crate) struct Window {
+    /// When, and the total from then on. The first stands for all before it.
+    totals: VecDeque<(Micros, f64)>,
+}
+
+impl Window {
+    /// Books a change at a time not before the last one's, and forgets what is older than `span`.
+    pub(crate) fn add(&mut self, now: Micros, change: f64, span: Micros) {
+        let total = self.totals.back().map_or(0.0, |t| t.1) + change;
+        if self.totals.is_empty() {
+            self.totals.push_back((0, 0.0));
+        }
+        self.totals.push_back((now, total));
+        while self.totals.get(1).is_some_and(|t| t.0 + span < now) {
+            self.totals.pop_front();
+        }
+    }
+
+    /// The sum of all changes kept that came after a moment.
+    pub(crate) fn since(&self, at: Micros) -> f64 {
+        let Some((_, total)) = self.totals.back() else { return 0.0 };
+        let before = self.totals.partition_point(|t| t.0 <= at).max(1);
+        total - self.totals[before - 1].1
+    }
+
+    /// The sum of all changes kept that came after one moment and not after another.
+    pub(crate) fn between(&self, after: Micros, until: Micros) -> f64 {
+        self.since(after) - self.since(until)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn sums_are_those_of_a_plain_walk() {
+        let (mut window, mut plain) = (Window::default(), VecDeque::new());
+        let mut x = 7u64;
+        for i in 0..2_000u64 {
+            x = x.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+            let (now, change) = (1 + i * 10 + x % 7, f64::from((x >> 40) as u32 % 2_000) - 1_000.0);
+            window.add(now, change, 1_000);
+            plain.push_back((now, change));
+            plain.retain(|p: &(u64, f64)| p.0 + 1_000 >= now);
+            for at in [0, now.saturating_sub(x % 1_500), now - 1, now] {
+                let walked: f64 = plain.iter().filter(|p| p.0 > at).map(|p| p.1).sum();
+                assert!((window.since(at) - walked).abs() < 1e-6, "since {at} at {now}");
+            }
+        }
+        assert!(window.totals.len() < 110, "bounded");
+    }
+
+    #[test]
+    fn nothing_is_no_change() {
+        assert_eq!(Window::default().since(5), 0.0);
+    }
+}
