--- a/crates/halls/src/limits.rs
+++ b/crates/halls/src/limits.rs
@@ -305,12 +305,13 @@
     fn short(&mut self, now: Micros, at: StreamerId) {
         let hall = self.streamers.get(&at).map(|p| p.hall);
         if !self.settled && hall.is_some_and(|h| !self.shut(h)) {
-            self.spill.back_off(now);
+            self.spill.back_off(now, self.own.back_off);
         }
     }
 
     fn reported(&mut self, now: Micros, at: StreamerId, report: &LoadReport) {
-        if report.link.or(report.uplink).is_some_and(|x| x.max(report.uplink.unwrap_or(0.0)) > SHORT_LOAD) {
+        let load = report.link.unwrap_or(0.0).max(report.uplink.unwrap_or(0.0));
+        if load > SHORT_LOAD {
             self.short(now, at);
         }
     }
@@ -352,13 +353,14 @@
             }
             Event::Started { streamer, .. } => Some((*streamer, Sign::Reachable)),
             Event::Note { streamer, kind, value, .. } => {
-                let short = match kind {
-                    NoteKind::Delivered => *value > 0.0 && *value < SHORT_DELIVERY,
-                    NoteKind::LinkUse | NoteKind::UplinkUse => *value > SHORT_LOAD,
-                    NoteKind::Rung => false,
-                };
-                if short {
-                    self.short(now, *streamer);
+                match kind {
+                    NoteKind::Delivered if *value > 0.0 && *value < SHORT_DELIVERY => {
+                        self.short(now, *streamer);
+                    }
+                    NoteKind::LinkUse | NoteKind::UplinkUse if *value > SHORT_LOAD => {
+                        self.short(now, *streamer);
+                    }
+                    _ => {}
                 }
                 Some((*streamer, Sign::Reachable))
             }
--- a/crates/halls/src/settings.rs
+++ b/crates/halls/src/settings.rs
@@ -28,6 +28,8 @@
     pub spill_share: f64,
     /// Set-ups a second, over the fleet, that may spill; 0 = bounded by the share alone.
     pub spill_rate: f64,
+    /// What a shortage in a hall that stands leaves of each director's part, 0.1 to 1.
+    pub back_off: f64,
     /// Chance that a whole hall is taken for lost by one run of bad luck (Wald's α), 1e-9 to 0.1.
     pub false_alarm: f64,
     /// For how long a sign counts, milliseconds, 500 to 60,000.
@@ -52,11 +54,12 @@
             order: BTreeMap::new(),
             spill_share: 0.8,
             spill_rate: 0.0,
+            back_off: 0.5,
             false_alarm: 0.001,
             evidence_ms: 5_000,
             trial_ms: 2_000,
             return_steps: 4,
-            slowest_return: 4,
+            slowest_return: 2,
             quiet_s: 30,
             names: Vec::new(),
         }
@@ -92,6 +95,7 @@
         }
         within("spill_share", self.spill_share, 0.0..=1.0, " (a share)")?;
         within("spill_rate", self.spill_rate, 0.0..=1e6, " set-ups a second")?;
+        within("back_off", self.back_off, 0.1..=1.0, " (a share)")?;
         within("false_alarm", self.false_alarm, 1e-9..=0.1, " (a chance)")?;
         within("evidence_ms", self.evidence_ms, 500..=60_000, " milliseconds")?;
         within("trial_ms", self.trial_ms, 250..=60_000, " milliseconds")?;
--- a/crates/halls/src/spill.rs
+++ b/crates/halls/src/spill.rs
@@ -99,12 +99,12 @@
         }
     }
 
-    /// The halls that stand run short: halves the part, once a second at most.
-    pub fn back_off(&mut self, now: Micros) {
+    /// A hall that stands runs short: leaves a share of the part, once a second at most.
+    pub fn back_off(&mut self, now: Micros, leaves: f64) {
         if self.sessions.is_empty() || (self.factor < 1.0 && now < self.factor_at + SECOND) {
             return;
         }
-        (self.factor, self.factor_at) = ((self.factor_now(now) / 2.0).max(LEAST), now);
+        (self.factor, self.factor_at) = ((self.factor_now(now) * leaves.clamp(0.0, 1.0)).max(LEAST), now);
     }
 
     fn factor_now(&self, now: Micros) -> f64 {
@@ -139,13 +139,13 @@
     }
 
     #[test]
-    fn a_shortage_halves_the_part_and_quiet_brings_it_back() {
+    fn a_shortage_takes_from_the_part_and_quiet_brings_it_back() {
         let mut s = Spill::new(0);
         s.state(1_000.0, f64::INFINITY, 1.0);
         s.add(0, RequestId(1), 100.0);
-        s.back_off(0);
-        s.back_off(SECOND / 2);
-        assert!((s.limit_kb(0) - 500.0).abs() < 1e-6, "once a second at most");
+        s.back_off(0, 0.7);
+        s.back_off(SECOND / 2, 0.7);
+        assert!((s.limit_kb(0) - 700.0).abs() < 1e-6, "once a second at most");
         assert!((s.limit_kb(6 * SECOND) - 1_000.0).abs() < 1e-6);
     }
 
--- a/deploy/operator.hcl
+++ b/deploy/operator.hcl
@@ -21,6 +21,10 @@
   # Set-ups a second that may spill, all directors together. 0 to 1000000; 0, the default, states no rate.
   spill_rate = 0
 
+  # What a shortage in a hall that stands leaves of each director's part of the spill; it recovers within 10 s.
+  # 0.1 to 1, default 0.5. With 1 shortages change nothing.
+  back_off = 0.5
+
   # Chance that a whole hall is taken for lost by one run of bad luck. 1e-9 to 0.1, default 0.001.
   false_alarm = 0.001
 
@@ -34,8 +38,8 @@
   # Steps in which a return is raised, over the settings' warm-up. 1 to 32, default 4.
   return_steps = 4
 
-  # How many times the warm-up a return may last after drops; each drop doubles it. 1 to 64, default 4.
-  slowest_return = 4
+  # How many times the warm-up a return may last after drops; each drop doubles it. 1 to 64, default 2.
+  slowest_return = 2
 
   # Seconds without a drop after which one is forgotten. 1 to 3600, default 30.
   quiet_s = 30
