--- a/benches/cost.rs
+++ b/benches/cost.rs
@@ -1,5 +1,5 @@
-//! Time per request in the decision module, by the number of streamers, the load and the request rate, as ratios
-//! within one run: machines are noisy. `cargo bench --bench cost`.
+//! Time per request in the decision module, by the number of streamers, the load and the request rate, as
+//! ratios within one run: machines are noisy. `cargo bench --bench cost`.
 #[path = "../tests/common/mod.rs"]
 mod common;
 use common::*;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,9 +6,9 @@
 //! The library does no I/O and reads no clock: events go in with their time, actions come out.
 //!
 //! ```
-//! use stonewharf_core::{Action, Class, ClassId, Controller, DedupScope, Effect, Entry, Event, KindId, ListScope};
-//! use stonewharf_core::{ReportMode, Request, RequestId, Settings, Standing, StreamerId, TitleId};
-//! use stonewharf_core::{ViewerId, ZoneId};
+//! use stonewharf_core::{Action, Class, ClassId, Controller, DedupScope, Effect, Entry, Event, KindId,
+//! ListScope}; use stonewharf_core::{ReportMode, Request, RequestId, Settings, Standing, StreamerId,
+//! TitleId}; use stonewharf_core::{ViewerId, ZoneId};
 //!
 //! let settings = Settings {
 //!     me: 0, controllers: 1, tenants: vec![], over_share_worth: 1.0,
--- a/crates/core/src/limits.rs
+++ b/crates/core/src/limits.rs
@@ -1,7 +1,8 @@
 //! The seam by which a subsystem's limits reach the decision module. A subsystem is told what the module is
-//! told and what it sends; asked about a set-up, it states terms: the streamer's tier, whether it is open, and
-//! how high the session may start. The module asks and decides: terms can only narrow its choice, never widen
-//! it, so no rule that the module keeps can be broken from here. Never does I/O and never answers a request.
+//! told and what it sends; asked about a set-up, it states terms: the streamer's tier, whether it is open,
+//! and how high the session may start. The module asks and decides: terms can only narrow its choice, never
+//! widen it, so no rule that the module keeps can be broken from here. Never does I/O and never answers a
+//! request.
 use crate::interface::*;
 use crate::rules::Controller;
 use std::fmt;
--- a/crates/halls/src/evidence.rs
+++ b/crates/halls/src/evidence.rs
@@ -1,6 +1,7 @@
-//! Evidence for and against the loss of one hall: a sequential probability ratio test (Wald, "Sequential Tests
-//! of Statistical Hypotheses", Annals of Mathematical Statistics 16, 1945) over signs from different streamers.
-//! A streamer counts once, with its latest sign, so that one bad streamer never loses a hall. Decides nothing.
+//! Evidence for and against the loss of one hall: a sequential probability ratio test (Wald, "Sequential
+//! Tests of Statistical Hypotheses", Annals of Mathematical Statistics 16, 1945) over signs from different
+//! streamers. A streamer counts once, with its latest sign, so that one bad streamer never loses a hall.
+//! Decides nothing.
 use std::collections::BTreeMap;
 use stonewharf_core::{Micros, StreamerId};
 
@@ -59,7 +60,8 @@
             }
         } else {
             self.good.remove(&streamer);
-            // The heavier sign stays: a streamer that can't be reached does not become likelier for a time-out.
+            // The heavier sign stays: a streamer that can't be reached does not become likelier for a
+            // time-out.
             let weight = |s: Sign| s.weight();
             let kept = self.bad.get(&streamer).filter(|b| weight(b.1) > weight(sign)).map_or(sign, |b| b.1);
             self.bad.insert(streamer, (now, kept));
@@ -103,7 +105,7 @@
     }
 
     /// The ratio from which a hall is taken for lost at a chance of a false alarm (Wald's upper bound, with
-    /// [`IF_LOST`] for the power of the test).
+    /// 0.95 for the power of the test).
     pub fn bound(false_alarm: f64) -> f64 {
         (IF_LOST / false_alarm).ln()
     }
--- a/crates/halls/src/hall.rs
+++ b/crates/halls/src/hall.rs
@@ -56,8 +56,8 @@
 }
 
 impl Hall {
-    /// A hall that nothing is held against. `warm_up` is what a streamer takes to warm, `cold_from` the part of
-    /// its capacity that it starts with.
+    /// A hall that nothing is held against. `warm_up` is what a streamer takes to warm, `cold_from` the part
+    /// of its capacity that it starts with.
     pub fn new(now: Micros, warm_up: Micros, cold_from: f64) -> Self {
         let cold_from = cold_from.clamp(0.05, 1.0);
         let (state, evidence) = (State::Whole, Evidence::default());
@@ -110,7 +110,8 @@
         (!self.is_lost()).then(|| self.lose(now, 0, own))
     }
 
-    /// The list says that one of its streamers started at a time; later than the loss, that begins the return.
+    /// The list says that one of its streamers started at a time; later than the loss, that begins the
+    /// return.
     pub fn restarted(&mut self, now: Micros, at: Micros) -> Option<Change> {
         match self.state {
             State::Lost { since, .. } if at > since => Some(self.returns(now)),
@@ -170,8 +171,8 @@
     }
 
     /// Whether a streamer of it is open in this slice of the clock. Steps only ever shut slices that the
-    /// module's own pace for cold streamers leaves open: whatever step each controller believes in, all together
-    /// stay under that pace.
+    /// module's own pace for cold streamers leaves open: whatever step each controller believes in, all
+    /// together stay under that pace.
     pub fn open(&self, now: Micros, streamer: StreamerId, own: &HallSettings) -> bool {
         let share = self.share(now, own);
         share >= 1.0 || (share > 0.0 && spot(now / SLICE_US, streamer) < share)
@@ -206,8 +207,8 @@
     }
 }
 
-/// A number from 0 to 1 for a slice and a streamer, spread evenly (the finaliser of SplitMix64: Steele, Lea and
-/// Flood, OOPSLA 2014).
+/// A number from 0 to 1 for a slice and a streamer, spread evenly (the finaliser of SplitMix64: Steele, Lea
+/// and Flood, OOPSLA 2014).
 fn spot(slice: u64, streamer: StreamerId) -> f64 {
     let mut x =
         slice.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ u64::from(streamer.0).wrapping_mul(0xbf58_476d_1ce4_e5b9);
--- a/crates/halls/src/limits.rs
+++ b/crates/halls/src/limits.rs
@@ -180,8 +180,9 @@
         self.marks.get(&id).copied().unwrap_or_default()
     }
 
-    /// Whether a set-up in a hall counts as spilled: its viewer comes from a lost hall, it crosses from one, or
-    /// its tier is not the first. What goes to a hall that returns is its own again, and raised there in steps.
+    /// Whether a set-up in a hall counts as spilled: its viewer comes from a lost hall, it crosses from one,
+    /// or its tier is not the first. What goes to a hall that returns is its own again, and raised there in
+    /// steps.
     fn spills(&self, request: &Request, hall: ZoneId) -> bool {
         if !self.is_settled(hall) {
             return false;
--- a/crates/halls/src/settings.rs
+++ b/crates/halls/src/settings.rs
@@ -34,7 +34,8 @@
     pub false_alarm: f64,
     /// For how long a sign counts, milliseconds, 500 to 60,000.
     pub evidence_ms: u64,
-    /// Time between trials of a lost hall by one director, milliseconds, 250 to 60,000; doubles up to fourfold.
+    /// Time between trials of a lost hall by one director, milliseconds, 250 to 60,000; doubles up to
+    /// fourfold.
     pub trial_ms: u64,
     /// Steps of a return, 1 to 32; together they last the settings' warm-up.
     pub return_steps: u32,
--- a/crates/halls/src/spill.rs
+++ b/crates/halls/src/spill.rs
@@ -1,7 +1,7 @@
-//! The account of what spills across from a lost hall: this controller's part of the stated limit, what it uses
-//! of it, and how far it backs off where the halls that stand run short. Parts of all controllers add up to the
-//! limit at most, whoever has the viewers: nobody lends, since nobody can ask. Knows no halls and no sessions'
-//! ways.
+//! The account of what spills across from a lost hall: this controller's part of the stated limit, what it
+//! uses of it, and how far it backs off where the halls that stand run short. Parts of all controllers add
+//! up to the limit at most, whoever has the viewers: nobody lends, since nobody can ask. Knows no halls and
+//! no sessions' ways.
 use std::collections::BTreeMap;
 use stonewharf_core::{Micros, RequestId};
 
@@ -68,8 +68,9 @@
         self.sessions.len()
     }
 
-    /// What a session may be rated at: one that spilled already, what it has and what is left; a new one, what
-    /// is left, but no more than an even share of the part among those expected. `None`: it may not spill now.
+    /// What a session may be rated at: one that spilled already, what it has and what is left; a new one,
+    /// what is left, but no more than an even share of the part among those expected. `None`: it may not
+    /// spill now.
     pub fn most_kb(&self, now: Micros, id: RequestId, least_kb: f64) -> Option<f64> {
         let left = self.limit_kb(now) - self.used_kb;
         if let Some(has) = self.sessions.get(&id) {
--- a/crates/halls/tests/properties.rs
+++ b/crates/halls/tests/properties.rs
@@ -71,8 +71,8 @@
 proptest! {
     #![proptest_config(ProptestConfig { cases: 256, failure_persistence: None, ..Default::default() })]
 
-    /// Whatever comes in, a hall is lost only by several different streamers, never while most of them answer,
-    /// comes back only by an answer or a restart, and its share stays within 0 and 1.
+    /// Whatever comes in, a hall is lost only by several different streamers, never while most of them
+    /// answer, comes back only by an answer or a restart, and its share stays within 0 and 1.
     #[test]
     fn a_hall_keeps_its_word(
         steps in prop::collection::vec((0u8..9, 0u32..12, 0u64..400_000), 1..300),
@@ -174,9 +174,9 @@
 proptest! {
     #![proptest_config(ProptestConfig { cases: 24, max_shrink_iters: 32, failure_persistence: None, ..Default::default() })]
 
-    /// Directors that know of a return, by the list, by failures or since they started later, keep the counted
-    /// limit together, whenever each hears of it and whoever restarts in between; what they book as spilled
-    /// stays within the stated limit, however unevenly viewers come to them.
+    /// Directors that know of a return, by the list, by failures or since they started later, keep the
+    /// counted limit together, whenever each hears of it and whoever restarts in between; what they book as
+    /// spilled stays within the stated limit, however unevenly viewers come to them.
     #[test]
     fn all_together_keep_pace_and_spill(
         controllers in 1u32..14,
--- a/crates/model/src/audit.rs
+++ b/crates/model/src/audit.rs
@@ -1,5 +1,5 @@
-//! Watches a run for broken promises: answers, attempts, paid set-ups, floors, and the pace at cold streamers.
-//! Counts only; what it sees comes from the world, never from the directors' own books.
+//! Watches a run for broken promises: answers, attempts, paid set-ups, floors, and the pace at cold
+//! streamers. Counts only; what it sees comes from the world, never from the directors' own books.
 use serde::Serialize;
 use std::collections::{BTreeMap, VecDeque};
 use stonewharf_core::Micros;
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -1,6 +1,7 @@
-//! A model of what the director balances: halls, racks, uplinks, links, cold streamers, a late list, and viewers
-//! who come again, in simulated time round the real core (module and ledger). For sizes that sockets don't
-//! reach. One seed gives one course. It decides nothing, reads no files and no clock: text goes in and out.
+//! A model of what the director balances: halls, racks, uplinks, links, cold streamers, a late list, and
+//! viewers who come again, in simulated time round the real core (module and ledger). For sizes that sockets
+//! don't reach. One seed gives one course. It decides nothing, reads no files and no clock: text goes in and
+//! out.
 //!
 //! Left out on purpose: bytes, connections' tables, CPU time, titles that only some streamers hold.
 #![forbid(unsafe_code)]
--- a/crates/model/src/run.rs
+++ b/crates/model/src/run.rs
@@ -70,8 +70,8 @@
     pub spill_limit: f64,
     /// See `spill_limit`: what the directors held to be spilled.
     pub spill_peak: f64,
-    /// The most that sessions of the lost hall's viewers took elsewhere. Directors can't tell a first try of a
-    /// lost hall's viewer from one of their own beyond counting, so this may differ from `spill_peak`.
+    /// The most that sessions of the lost hall's viewers took elsewhere. Directors can't tell a first try of
+    /// a lost hall's viewer from one of their own beyond counting, so this may differ from `spill_peak`.
     pub strangers_peak: f64,
     /// The largest number of set-ups to a cold streamer in a window over what is allowed; 1 = the limit.
     pub return_pace_peak: f64,
@@ -146,7 +146,8 @@
 struct Run<'a> {
     scenario: &'a Scenario,
     dice: ChaCha8Rng,
-    /// Chance of who comes, apart from all other chance: what is offered is the same whatever the directors do.
+    /// Chance of who comes, apart from all other chance: what is offered is the same whatever the directors
+    /// do.
     crowd: ChaCha8Rng,
     now: Micros,
     number: u64,
@@ -765,7 +766,8 @@
         self.turn(node, Input::List { scope: ListScope::Cached, entries });
     }
 
-    /// The list tells how streamers stand; each director hears it a little later, half of them by `late` more.
+    /// The list tells how streamers stand; each director hears it a little later, half of them by `late`
+    /// more.
     fn publish(&mut self, streamers: &[usize], late_half_s: f64) {
         let entries: Vec<Entry> = streamers.iter().map(|i| self.world.entry(*i)).collect();
         for entry in &entries {
--- a/crates/model/src/scenario.rs
+++ b/crates/model/src/scenario.rs
@@ -214,7 +214,8 @@
 
     #[test]
     fn what_is_set_replaces_what_is_written() {
-        let text = "directors = 3\noperator {\n  spill_share = 0.2\n}\nincidents = [{ kind = \"loss\", hall = \"hall-b\", at = 5 }]\n";
+        let text = "directors = 3\noperator {\n  spill_share = 0.2\n}\n\
+                    incidents = [{ kind = \"loss\", hall = \"hall-b\", at = 5 }]\n";
         let sets =
             ["directors=100", "operator.enabled=false", "incidents.0.at=7", "title=far"].map(String::from);
         let s = Scenario::parse("f", text, &sets).expect("right");
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -1,6 +1,6 @@
-//! The operator file: what this project's own subsystems are set to, as HCL. Text goes in; checked settings or
-//! one line come out that names the place and what is allowed there. Reads no files and keeps no state: whoever
-//! has the text decides what to do with the result, all or nothing.
+//! The operator file: what this project's own subsystems are set to, as HCL. Text goes in; checked settings
+//! or one line come out that names the place and what is allowed there. Reads no files and keeps no state:
+//! whoever has the text decides what to do with the result, all or nothing.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
--- a/crates/operator/src/places.rs
+++ b/crates/operator/src/places.rs
@@ -1,5 +1,5 @@
-//! Where each setting of an operator file stands: its path (`halls.hall.hall-a.directors`) and line. Values are
-//! read elsewhere, by serde, which does not know lines.
+//! Where each setting of an operator file stands: its path (`halls.hall.hall-a.directors`) and line. Values
+//! are read elsewhere, by serde, which does not know lines.
 use hcl_edit::Span;
 use hcl_edit::structure::{Body, Structure};
 use std::collections::BTreeMap;
--- a/crates/standins/src/streamer.rs
+++ b/crates/standins/src/streamer.rs
@@ -159,7 +159,8 @@
             for session in over {
                 let Some((_, on)) = sessions.remove(&session) else { continue };
                 let say = format!(
-                    "TEARDOWN rtsp://media/x RTSP/1.0\r\nCSeq: 2\r\nSession: {session}\r\nReason: cause=16\r\n\
+                    "TEARDOWN rtsp://media/x RTSP/1.0\r\nCSeq: 2\r\nSession: {session}\r\n\
+                     Reason: cause=16\r\n\
                      Content-Length: 0\r\n\r\n"
                 );
                 // On the connection of its set-up, or else on any that is open.
@@ -211,7 +212,8 @@
     let ok = |more: &str, body: &str| {
         let length = body.len();
         format!(
-            "RTSP/1.0 200 OK\r\nCSeq: {number}\r\nSession: {session}\r\n{more}Content-Length: {length}\r\n\r\n{body}"
+            "RTSP/1.0 200 OK\r\nCSeq: {number}\r\nSession: {session}\r\n{more}\
+             Content-Length: {length}\r\n\r\n{body}"
         )
     };
     let now = Instant::now();
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,5 +1,5 @@
-//! The command line: what it takes, and which part of the library serves it. Without arguments the director is
-//! served as `LB_CONFIG` says. Wrong arguments and files end with one clear line and a failure.
+//! The command line: what it takes, and which part of the library serves it. Without arguments the director
+//! is served as `LB_CONFIG` says. Wrong arguments and files end with one clear line and a failure.
 use crate::net::logging::{self, Format};
 use crate::net::{Node, NodeError, operator};
 use crate::platform::config::Config;
@@ -233,8 +233,8 @@
     let share = outcome.worth_served / outcome.worth_offered.max(f64::MIN_POSITIVE);
     let _ = writeln!(
         io::stdout(),
-        "rules_broken={} worth_share={share:.4} spill={:.0}/{:.0} return_pace_peak={:.2} home_served_share={:.4} \
-         detect_s={:.2} wall_s={:.1}",
+        "rules_broken={} worth_share={share:.4} spill={:.0}/{:.0} return_pace_peak={:.2} \
+         home_served_share={:.4} detect_s={:.2} wall_s={:.1}",
         outcome.rules_broken,
         outcome.spill_peak,
         outcome.spill_limit,
--- a/tests/halls.rs
+++ b/tests/halls.rs
@@ -1,5 +1,6 @@
-//! Two halls of stand-in streamers, real directors on real sockets. One hall is cut by silence, returns cold, is cut
-//! again by refusals and returns again. Every set-up is counted at the streamers, every answer at the viewers.
+//! Two halls of stand-in streamers, real directors on real sockets. One hall is cut by silence, returns
+//! cold, is cut again by refusals and returns again. Every set-up is counted at the streamers, every answer
+//! at the viewers.
 mod common;
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
