Take what is derivable or dead out of the halls and the seam

Read once more: the set of halls with streamers up was kept beside the map whose keys it is, the seam had a written form that nothing asks for, and a header named a setting that was given up.

--- a/crates/core/src/limits.rs
+++ b/crates/core/src/limits.rs
@@ -5,7 +5,6 @@
 //! request.
 use crate::interface::*;
 use crate::rules::Controller;
-use std::fmt;
 
 /// Cost of a tier further in placement: more than all else there together.
 const TIER: f64 = 1e3;
@@ -93,12 +92,6 @@
     }
 }
 
-impl fmt::Debug for Seam {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(if self.limits.is_some() { "Seam(limits)" } else { "Seam(free)" })
-    }
-}
-
 impl Controller {
     /// This controller with limits set on its choice, from its start on.
     pub fn limited(mut self, limits: Box<dyn Limits>) -> Self {
--- a/crates/halls/src/limits.rs
+++ b/crates/halls/src/limits.rs
@@ -5,7 +5,7 @@
 use crate::settings::{HallSettings, Prefer};
 use crate::spill::Spill;
 use std::cell::RefCell;
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 use stonewharf_core::{
     ClassId, Effect, Event, Limits, ListScope, LoadReport, Micros, NoteKind, Outcome, Request, RequestId,
@@ -246,7 +246,6 @@
         for p in self.streamers.values().filter(|p| p.up) {
             *racks.entry((p.hall, p.rack)).or_default() += p.kb;
         }
-        let held_up: BTreeSet<ZoneId> = racks.keys().map(|(zone, _)| *zone).collect();
         let mut links: BTreeMap<ZoneId, f64> = BTreeMap::new();
         for ((zone, _), kb) in racks {
             *links.entry(zone).or_default() += kb.min(self.set.rack_kb);
@@ -254,13 +253,12 @@
         for (zone, hall) in &mut self.halls {
             match links.get(zone) {
                 // Capacity of an emptied hall is remembered: it is what its viewers had.
-                None if !held_up.contains(zone) => {
+                None => {
                     changes.extend(hall.emptied(now, &self.own).map(|c| (*zone, c)));
                 }
                 Some(kb) => {
                     self.links_kb.insert(*zone, *kb);
                 }
-                None => {}
             }
         }
         let used: HashSet<StreamerId> = self.held.values().map(|(at, _)| *at).collect();
--- a/crates/operator/src/places.rs
+++ b/crates/operator/src/places.rs
@@ -1,4 +1,4 @@
-//! Where each setting of an operator file stands: its path (`halls.hall.hall-a.directors`) and line. Values
+//! Where each setting of an operator file stands: its path (`halls.spill_share`) and line. Values
 //! are read elsewhere, by serde, which does not know lines.
 use hcl_edit::Span;
 use hcl_edit::structure::{Body, Structure};
