Hear signals by flags the loop reads, not by a Unix socket pair

Seen with the new test: /proc/<pid>/fd of a running director had socket inodes that are listed in /proc/net/unix.

Checked the rest of what `run` starts (release binary, examples/config.json, the toy streamer, one session, SIGHUP, SIGTERM, under strace -f): one execve, sockets only AF_INET/SOCK_STREAM (4), an eventfd and a timerfd of the poller, no fork, clone3 for threads only (two: the log's, which waits on its queue, and a short one at the end that joins it), no pipe, splice, sendfile or io_uring. `ldd`: libc, libm, libgcc_s, dynamically. The halls that the operator file turns on do no I/O.

Change: signal-hook's safe `flag::register` sets one flag per kind; the loop reads them after each wait and never waits longer than 250 ms (`signals::NOTICE`), so a signal is acted on within that even where the machine does not interrupt the wait. Before, a signal woke the wait at once; SIGTERM's grace of 3.6 s and a reload lose at most 0.25 s.

Test: tests/node.rs `only_ipv4_sockets_are_held` fails on the old text ("a Unix socket") and passes now; the SIGHUP and SIGTERM tests on the real binary pass as before.

--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -38,7 +38,7 @@
 const ROUNDS: usize = 16;
 /// Times the longest deadline that a viewer's own may be, so that none is kept for ever.
 const WAIT_MOST: Micros = 10;
-/// Descriptors that are neither viewers' nor streamers': standard streams, poller, signals, bulletin, spare.
+/// Descriptors that are neither viewers' nor streamers': standard streams, poller and its timer, bulletin, spare.
 const OWN_DESCRIPTORS: usize = 24;
 
 /// Why a director can't start or go on.
@@ -142,8 +142,8 @@
         if let Some((_, halls)) = &operator {
             director = director.limited(Box::new(halls.clone()));
         }
-        let mut poll = Poll::new()?;
-        let signals = Signals::take(&mut poll)?;
+        let poll = Poll::new()?;
+        let signals = Signals::take()?;
         let (deadlines, inputs) = Default::default();
         let mut shared = Shared { poll, deadlines, inputs, counters: Counters::default(), log, now };
         let sockets = config.limits.sockets.saturating_sub(OWN_DESCRIPTORS);
@@ -200,9 +200,11 @@
         let next = self.shared.deadlines.next();
         let until = next.map(|at| Duration::from_micros(at.saturating_sub(self.clock.now())));
         let left_over = (!self.shared.inputs.is_empty()).then_some(Duration::ZERO);
-        let wait = [most, until, left_over].into_iter().flatten().min();
+        let wait = [most, until, left_over, Some(signals::NOTICE)].into_iter().flatten().min();
         let ready = self.shared.poll.wait(wait)?;
         self.shared.now = self.clock.now();
+        let asked: Vec<Asked> = self.signals.asked().collect();
+        asked.into_iter().for_each(|asked| self.asked(asked));
         for (token, readable, writable) in ready {
             self.ready(token, readable, writable);
         }
@@ -236,15 +238,17 @@
         } else if self.bulletin.has(token) {
             let news = self.bulletin.ready(shared, readable, writable);
             news.iter().for_each(|notice| self.notice(notice, false));
-        } else if let Some(asked) = self.signals.asked(token) {
-            match asked {
-                Asked::Counters => {
-                    let counters = self.counters();
-                    info!(self.shared.log, "counters"; "counters" => %counters);
-                }
-                Asked::End => self.end(),
-                Asked::Reload => self.reload(),
+        }
+    }
+
+    fn asked(&mut self, asked: Asked) {
+        match asked {
+            Asked::Counters => {
+                let counters = self.counters();
+                info!(self.shared.log, "counters"; "counters" => %counters);
             }
+            Asked::End => self.end(),
+            Asked::Reload => self.reload(),
         }
     }
 
--- a/src/net/signals.rs
+++ b/src/net/signals.rs
@@ -1,9 +1,18 @@
-//! Signals as bytes on a socket that the loop watches.
-use super::poll::{Poll, Token, Watched};
+//! Signals as flags that the loop reads after each wait. It owns the handlers and the flags; it never wakes
+//! the loop itself.
+//!
+//! Why flags and no descriptor: the platforms we run on may refuse Unix sockets (a socket pair was used here
+//! before) and give no promise on pipes or event descriptors, while a flag set by a handler needs nothing of
+//! the machine. A signal interrupts the wait where the machine allows that; where it does not, the loop waits
+//! at most [`NOTICE`] and sees the flag then.
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
-use signal_hook::low_level::pipe;
-use std::io::{self, Read};
-use std::os::unix::net::UnixStream;
+use std::io;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+/// The longest time from a signal to the loop acting on it: the loop never waits longer than this.
+pub const NOTICE: Duration = Duration::from_millis(250);
 
 /// What a signal asks for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -16,36 +25,40 @@
     Counters,
 }
 
-/// The signals that the program handles.
+/// The signals that the program handles, each with the flag its handler sets.
 pub struct Signals {
-    pipes: Vec<(Watched<UnixStream>, Asked)>,
+    flags: Vec<(Arc<AtomicBool>, Asked)>,
 }
 
 impl Signals {
-    /// Takes the signals over.
-    pub fn take(poll: &mut Poll) -> io::Result<Self> {
-        let mut pipes = Vec::new();
-        let signals = [
-            (SIGTERM, Asked::End),
-            (SIGINT, Asked::End),
-            (SIGHUP, Asked::Reload),
-            (SIGUSR1, Asked::Counters),
-        ];
-        for (signal, asked) in signals {
-            let (ours, handlers) = UnixStream::pair()?;
-            ours.set_nonblocking(true)?;
-            pipe::register(signal, handlers)?;
-            pipes.push((poll.watch(ours, false)?, asked));
+    /// Takes the signals over. SIGTERM and SIGINT share one flag.
+    pub fn take() -> io::Result<Self> {
+        let (end, reload, counters) = Default::default();
+        let flags: Vec<(Arc<AtomicBool>, Asked)> =
+            vec![(end, Asked::End), (reload, Asked::Reload), (counters, Asked::Counters)];
+        let signals = [(SIGTERM, 0), (SIGINT, 0), (SIGHUP, 1), (SIGUSR1, 2)];
+        for (signal, flag) in signals {
+            signal_hook::flag::register(signal, Arc::clone(&flags[flag].0))?;
         }
-        Ok(Signals { pipes })
+        Ok(Signals { flags })
+    }
+
+    /// What was asked since the last call, each kind once, in the order End, Reload, Counters.
+    pub fn asked(&self) -> impl Iterator<Item = Asked> + '_ {
+        self.flags.iter().filter(|(flag, _)| flag.swap(false, Ordering::AcqRel)).map(|(_, asked)| *asked)
     }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
 
-    /// What a token that is ready asks for, if it is a signal's.
-    pub fn asked(&self, token: Token) -> Option<Asked> {
-        let (pipe, asked) = self.pipes.iter().find(|p| p.0.token() == token)?;
-        let mut bytes = [0; 64];
-        let mut source = pipe.source();
-        while matches!(source.read(&mut bytes), Ok(n) if n > 0) {}
-        Some(*asked)
+    #[test]
+    fn a_raised_signal_is_asked_once() {
+        let signals = Signals::take().expect("handlers");
+        assert_eq!(signals.asked().count(), 0);
+        signal_hook::low_level::raise(SIGUSR1).expect("raise");
+        assert_eq!(signals.asked().collect::<Vec<_>>(), vec![Asked::Counters]);
+        assert_eq!(signals.asked().count(), 0);
     }
 }
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -376,6 +376,32 @@
     assert!(rig.child.wait().expect("ended").success());
 }
 
+/// The fleet's platform lets a director have TCP and UDP over IPv4 only: a socket pair that woke the loop for
+/// signals was a Unix socket. Every socket the process holds must be an IPv4 one, and it still hears signals.
+#[test]
+fn only_ipv4_sockets_are_held() {
+    let mut rig = Rig::start();
+    let _viewer = rig.viewer();
+    let inodes = |table: &str| -> Vec<String> {
+        let text = std::fs::read_to_string(format!("/proc/net/{table}")).unwrap_or_default();
+        let column = if table == "unix" { 6 } else { 9 };
+        text.lines().skip(1).filter_map(|l| l.split_whitespace().nth(column).map(str::to_owned)).collect()
+    };
+    let (unix, tcp6, udp6) = (inodes("unix"), inodes("tcp6"), inodes("udp6"));
+    let fds = std::fs::read_dir(format!("/proc/{}/fd", rig.child.id())).expect("its descriptors");
+    let mut sockets = 0;
+    for fd in fds.flatten() {
+        let link = std::fs::read_link(fd.path()).map(|l| l.display().to_string()).unwrap_or_default();
+        let Some(inode) = link.strip_prefix("socket:[").and_then(|l| l.strip_suffix(']')) else { continue };
+        sockets += 1;
+        assert!(!unix.iter().any(|i| i == inode), "a Unix socket: {link}");
+        assert!(!tcp6.iter().chain(&udp6).any(|i| i == inode), "an IPv6 socket: {link}");
+    }
+    assert!(sockets >= 2, "the listener and the viewer are seen ({sockets})");
+    rig.signal("-USR1");
+    next_line(&mut rig.log, "counters");
+}
+
 /// A closed standard error costs the log, not the service.
 #[test]
 fn a_closed_log_does_not_stop_the_service() {
