--- a/src/cli.rs
+++ b/src/cli.rs
@@ -95,6 +95,8 @@
     #[default]
     Info,
     Debug,
+    /// Also every input to the core and every deed out of it, with the request's id: to follow one request.
+    Trace,
 }
 
 impl From<Level> for slog::Level {
@@ -104,6 +106,7 @@
             Level::Warning => slog::Level::Warning,
             Level::Info => slog::Level::Info,
             Level::Debug => slog::Level::Debug,
+            Level::Trace => slog::Level::Trace,
         }
     }
 }
@@ -151,7 +154,9 @@
     let (log, guard) = logging::to_stderr(args.log_level.into(), args.log_format);
     let served = config(args.files.config.as_deref()).and_then(|config| {
         let log = log.new(slog::o!("director" => config.name.clone()));
-        Node::with_operator(&config, args.files.operator.as_deref(), log)?.run()
+        let mut node = Node::with_operator(&config, args.files.operator.as_deref(), log)?;
+        node.trace(matches!(args.log_level, Level::Trace));
+        node.run()
     });
     drop(log);
     guard.finish();
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -20,7 +20,7 @@
 use poll::Poll;
 use shared::{Due, Shared};
 use signals::{Asked, Signals};
-use slog::{Logger, debug, info, warn};
+use slog::{Logger, debug, info, trace, warn};
 use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -115,6 +115,8 @@
     operator: Option<(PathBuf, SharedHalls)>,
     ending: bool,
     done: bool,
+    /// Whether every input and deed is logged, at the level `trace`.
+    tracing: bool,
 }
 
 impl Node {
@@ -166,6 +168,7 @@
             operator,
             ending,
             done,
+            tracing: false,
         };
         config.known.items.iter().for_each(|notice| node.notice(notice, true));
         node.bulletin.due(&mut node.shared);
@@ -184,6 +187,12 @@
         self.director.counters().plus(&transport)
     }
 
+    /// Logs every input to the core and every deed out of it, but the list's news and the core's own timers.
+    /// Costs a line for each: for following one request by its id, not for a long day.
+    pub fn trace(&mut self, on: bool) {
+        self.tracing = on;
+    }
+
     /// Serves until SIGTERM and the grace time after it.
     pub fn run(&mut self) -> Result<(), NodeError> {
         info!(self.shared.log, "serves"; "at" => %self.address()?);
@@ -216,7 +225,16 @@
                 break;
             }
             let inputs = std::mem::take(&mut self.shared.inputs);
+            let told = |i: &&Input| !matches!(i, Input::List { .. } | Input::Due(_));
+            for input in inputs.iter().filter(told).filter(|_| self.tracing) {
+                trace!(self.shared.log, "in"; "input" => ?input);
+            }
             let deeds = self.director.turn(self.shared.now, inputs);
+            for deed in deeds.iter().filter(|d| !matches!(d, Deed::Wake(..) | Deed::Log(_))) {
+                if self.tracing {
+                    trace!(self.shared.log, "out"; "deed" => ?deed);
+                }
+            }
             deeds.into_iter().for_each(|deed| self.carry_out(deed));
         }
         self.viewers.close_ended(&mut self.shared);
