Take as cold only the streamers that the list says started, also after an own restart

The logs showed no Playing input at the restart: nothing was handed over.

At fault: rules.rs `is_cold`: without a handover (`deaf_until == 0`) every streamer not proven warm by a probe counted as cold for a whole warm-up after the director's own start, and cold streamers take set-ups only in their turn of the common clock, a turn that 300 directors share.

Ruled out: the release of streamers in the same seconds (their starts are in the list, and paced as before), and room (links were believed half empty).

Change: a streamer is cold where the list, a reset or a refused connection says it started, for a director that has just started as for any other; what it lacks is only the resets of the seconds before it, which the list tells within its lateness.

--- a/crates/core/src/rules.rs
+++ b/crates/core/src/rules.rs
@@ -46,7 +46,6 @@
 const ASKS: usize = 2; // streamers asked before a set-up at most: the power of two choices
 const LOOK: f64 = 0.1; // chance to look around in a sweep: controllers must not all ask at once
 const ASKERS: f64 = 10.0; // controllers to one that asks while a step does not yet show
-const WARM_LOAD: f64 = 0.2; // use of a link from which a streamer can't have started just now
 const TENANT_S: f64 = 15.0; // seconds over which a tenant's arrivals are set against its quota
 const TENANT_SURE: f64 = 3.0; // arrivals as good as the belief that a tenant keeps to its share
 const LEAST_LEFT_US: Micros = 30_000; // less of the viewer's time than this is not worth a further attempt
@@ -171,7 +170,6 @@
     trial_at: Micros,
     cold_since: Option<Micros>,
     cold_turn: Option<u64>,
-    warm_known: bool,
     probe_out: bool,
     linked_until: Micros,
     probed_at: Micros,
@@ -203,7 +201,6 @@
     pub(crate) limits: Seam,
     set: Settings,
     rng: Option<ChaCha8Rng>,
-    born: Micros,
     now: Micros,
     deaf_until: Micros,
     ticking: bool,
@@ -238,7 +235,6 @@
         let pays = settings.reports != ReportMode::Silent && settings.probe_price < PROBE_WORTH;
         Ok(Controller {
             rng: Some(ChaCha8Rng::seed_from_u64(seed)),
-            born: now,
             now,
             swept_at: now,
             chosen_at: now,
@@ -338,7 +334,6 @@
                 entry: entry.clone(),
                 link: Gauge { cap_kb, ..Gauge::default() },
                 cold_since: entry.started_at,
-                warm_known: scope != ListScope::Cached && entry.started_at.is_none() && self.now > self.born,
                 ..Streamer::default()
             });
             if entry.started_at > s.entry.started_at {
@@ -419,8 +414,6 @@
         }
         let short = self.streamers.get(&id).is_some_and(|s| s.link.short_within(self.now, FRESH_US));
         let link = report.link.or(report.link_capped.filter(|x| *x < 0.98 || !short));
-        // One that has just started holds next to nothing.
-        self.streamers.entry(id).and_modify(|s| s.warm_known |= link.is_some_and(|x| x >= WARM_LOAD));
         link.into_iter().for_each(|x| self.hear(id, 0, at, x));
         report.uplink.into_iter().for_each(|x| self.hear(id, 1, at, x));
     }
@@ -499,7 +492,6 @@
         self.titles.insert(session.request.title, self.now);
         self.sessions.insert(id, session);
         self.place(id, Some(streamer));
-        self.streamers.entry(streamer).and_modify(|s| s.warm_known = true);
     }
 
     /// [D7] What a tenant's request is worth, by how much of its traffic is past this controller's part.
@@ -752,11 +744,10 @@
     }
 
     /// After a restart, told or inferred from a reset or silence, its pace is limited until it is warm.
+    /// An own restart adds nothing: the list tells starts to all alike, and hundreds of directors that
+    /// took all for cold starved the streamers of those who came back.
     fn is_cold(&self, s: &Streamer) -> bool {
-        let warm_at = |since: Micros| since.saturating_add(self.set.warm_up_us);
-        // After an own restart the list is stale: any streamer may have restarted unseen.
-        let unsure = self.deaf_until == 0 && !s.warm_known && self.now < warm_at(self.born);
-        unsure || s.cold_since.is_some_and(|since| self.now < warm_at(since))
+        s.cold_since.is_some_and(|since| self.now < since.saturating_add(self.set.warm_up_us))
     }
 
     /// Whether a cold streamer may have a set-up now. Turns are cut from the common clock, each for as many
@@ -1004,14 +995,6 @@
         self.adjust_rungs(out);
         self.decide_waiting(|asked| asked.1 + 2 * SWEEP_US <= now, out); // a probe lost must not hold it
         self.look_around(out);
-        let after = self.born + SWEEP_US..self.born + self.set.warm_up_us; // by then a handover has come
-        let unsure = self.set.probes && self.deaf_until == 0 && after.contains(&now);
-        let cold = |s: &&mut Streamer| !s.warm_known && !s.probe_out && s.probed_at + SECOND as Micros <= now;
-        let up = self.streamers.values_mut().filter(|s| unsure && s.entry.standing == Standing::Up);
-        for s in up.filter(cold) {
-            (s.probed_at, s.probe_out) = (now, true);
-            out.push(Action::Probe(s.entry.streamer));
-        }
         if now >= self.chosen_at + CHOOSE_US {
             self.chosen_at = now;
             self.choose(out);
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -38,7 +38,7 @@
 const ROUNDS: usize = 16;
 /// Times the longest deadline that a viewer's own may be, so that none is kept for ever.
 const WAIT_MOST: Micros = 10;
-/// Descriptors that are neither viewers' nor streamers': standard streams, poller and its timer, bulletin, spare.
+/// Descriptors that are neither viewers' nor streamers': standard streams, poller, timer, bulletin, spare.
 const OWN_DESCRIPTORS: usize = 24;
 
 /// Why a director can't start or go on.
