--- a/crates/core/src/rules.rs
+++ b/crates/core/src/rules.rs
@@ -753,9 +753,9 @@
         s.cold_since.is_some_and(|since| self.now < since.saturating_add(self.set.warm_up_us))
     }
 
-    /// The turn of the common clock at a streamer, and whether it is this controller's. Turns are cut from the
-    /// clock, each for as many controllers as the pace allows; COLD_PACE leaves room for the one turn more that
-    /// any second touches.
+    /// The turn of the common clock at a streamer, and whether it is this controller's. Turns are cut
+    /// from the clock, each for as many controllers as the pace allows; COLD_PACE leaves room for the one
+    /// turn more that any second touches.
     fn turn(&self, entry: &Entry) -> (u64, bool) {
         let places = self.set.fall_multiple * self.set.streams_of(entry) * self.set.cold_from;
         let pace = COLD_PACE * places / (self.set.warm_up_us as f64 / SECOND).max(1e-3);
