Trace lines keep ids and figures and leave descriptions out; model incidents can be set unplayed

Change: net/trace.rs writes inputs and deeds briefly; an incident with played = false marks its time and changes nothing.

--- a/crates/model/src/run.rs
+++ b/crates/model/src/run.rs
@@ -631,6 +631,12 @@
 
     fn begin(&mut self, incident: &Incident) {
         let hall = self.scenario.halls.iter().position(|h| *h == incident.hall).unwrap_or(0);
+        if !incident.played {
+            if matches!(incident.kind, Kind::Loss | Kind::Cut) {
+                self.first_loss.get_or_insert((self.now, hall));
+            }
+            return;
+        }
         let streamers = self.streamers_of(hall);
         let part = ((streamers.len() as f64 * incident.size).ceil() as usize).min(streamers.len());
         match incident.kind {
@@ -685,6 +691,9 @@
     }
 
     fn end(&mut self, incident: &Incident) {
+        if !incident.played {
+            return;
+        }
         let hall = self.scenario.halls.iter().position(|h| *h == incident.hall).unwrap_or(0);
         match incident.kind {
             Kind::Loss | Kind::Cut => {
--- a/crates/model/src/scenario.rs
+++ b/crates/model/src/scenario.rs
@@ -57,6 +57,10 @@
     /// Half of the directors hear of the end so many seconds later than the others.
     #[serde(default)]
     pub late_half_s: f64,
+    /// Whether it happens. Where not, its time still marks what is measured from a loss on (the other halls'
+    /// own viewers), so that a run without the loss can be set beside one with it, all else the same.
+    #[serde(default = "yes")]
+    pub played: bool,
 }
 
 fn whole() -> f64 {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -7,6 +7,7 @@
 mod shared;
 mod signals;
 mod streamers;
+mod trace;
 mod viewers;
 
 use crate::director::{Counters, Deed, Director, Input, Over, Parcel, ViewerLink};
@@ -225,15 +226,12 @@
                 break;
             }
             let inputs = std::mem::take(&mut self.shared.inputs);
-            let told = |i: &&Input| !matches!(i, Input::List { .. } | Input::Due(_));
-            for input in inputs.iter().filter(told).filter(|_| self.tracing) {
-                trace!(self.shared.log, "in"; "input" => ?input);
+            for input in inputs.iter().filter(|_| self.tracing).filter_map(trace::input) {
+                trace!(self.shared.log, "in"; "input" => input);
             }
             let deeds = self.director.turn(self.shared.now, inputs);
-            for deed in deeds.iter().filter(|d| !matches!(d, Deed::Wake(..) | Deed::Log(_))) {
-                if self.tracing {
-                    trace!(self.shared.log, "out"; "deed" => ?deed);
-                }
+            for deed in deeds.iter().filter(|_| self.tracing).filter_map(trace::deed) {
+                trace!(self.shared.log, "out"; "deed" => deed);
             }
             deeds.into_iter().for_each(|deed| self.carry_out(deed));
         }
--- /dev/null
+++ b/src/net/trace.rs
@@ -0,0 +1,58 @@
+//! Lines of the level `trace`: every input to the core and every deed out of it, in a brief form that keeps
+//! the ids and figures and leaves the descriptions out (their bytes made a line ten times as long, and a
+//! day's trace heavy enough to change the timing it was to show). Decides nothing.
+use crate::director::{Deed, Input};
+
+/// An input, briefly; `None` for the list's news and the core's own timers, which are not traced.
+pub fn input(input: &Input) -> Option<String> {
+    Some(match input {
+        Input::List { .. } | Input::Due(_) => return None,
+        Input::Wanted { link, request, parcel } => {
+            format!("Wanted {request:?} from {link:?}, class {:?}", parcel.class)
+        }
+        Input::Stands { streamer, session, number, description } => {
+            format!("Stands {session:?} at {streamer:?}, attempt {number:?}, {} bytes", description.len())
+        }
+        Input::TurnedAway { streamer, session, number, outcome, report } => {
+            format!("TurnedAway {session:?} at {streamer:?}, attempt {number:?}, {outcome:?}, {report:?}")
+        }
+        Input::Released { streamer, session, number, why, report, .. } => {
+            format!("Released {session:?} at {streamer:?}, attempt {number:?}, {why:?}, {report:?}")
+        }
+        other => format!("{other:?}"),
+    })
+}
+
+/// A deed, briefly; `None` for wake-ups and the module's own lines, which are not traced.
+pub fn deed(deed: &Deed) -> Option<String> {
+    Some(match deed {
+        Deed::Wake(..) | Deed::Log(_) => return None,
+        Deed::Answer(link, id, description) => {
+            format!("Answer {id:?} to {link:?}, {} bytes", description.len())
+        }
+        Deed::SetUp { streamer, attempt, rung, until, .. } => {
+            format!("SetUp {attempt:?} at {streamer:?}, rung {rung}, until {until}")
+        }
+        other => format!("{other:?}"),
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::director::Parcel;
+    use crate::interface::{Request, RequestId, StreamerId};
+    use std::rc::Rc;
+
+    #[test]
+    fn ids_stay_and_descriptions_go() {
+        let parcel = Rc::new(Parcel { class: "paid".into(), title: "t".into(), description: vec![7; 500] });
+        let request = Request { id: RequestId(42), ..Request::default() };
+        let wanted = input(&Input::Wanted { link: crate::director::ViewerLink(3), request, parcel });
+        let wanted = wanted.expect("traced");
+        assert!(wanted.contains("RequestId(42)") && wanted.len() < 400, "{wanted}");
+        let answer = deed(&Deed::Answer(crate::director::ViewerLink(3), RequestId(42), vec![7; 500]));
+        assert_eq!(answer.as_deref(), Some("Answer RequestId(42) to ViewerLink(3), 500 bytes"));
+        assert!(deed(&Deed::Probe(StreamerId(1))).is_some());
+    }
+}
