Fix the seeds of the property tests, so that their verdict is the same every time

Cause: halls' properties and the operator file's drew fresh seeds in every run, so a verdict could change without a change of the code. Checked: the quickcheck tests (ledger, codecs) and the seeded worlds have fixed seeds already; nothing else draws. Change: a fixed seed through proptest's own RngSeed; PROPTEST_RNG_SEED=N draws others, as that library documents.

--- a/crates/halls/tests/properties.rs
+++ b/crates/halls/tests/properties.rs
@@ -1,10 +1,19 @@
 //! The state of a hall against random steps, and what several directors do together, each judging alone.
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use std::collections::{BTreeMap, BTreeSet, HashSet};
 use stonewharf_core::*;
 use stonewharf_halls::{Change, Hall, HallSettings, Halls, SharedHalls, Sign, State};
 
 const S: Micros = 1_000_000;
+const SEED: u64 = 20;
+
+/// So many cases from a fixed seed, so that the verdict is the same every time; PROPTEST_RNG_SEED=N draws others.
+fn drawn(cases: u32) -> ProptestConfig {
+    let seed = std::env::var("PROPTEST_RNG_SEED").ok().and_then(|text| text.parse().ok());
+    let rng_seed = RngSeed::Fixed(seed.unwrap_or(SEED));
+    ProptestConfig { cases, rng_seed, failure_persistence: None, ..Default::default() }
+}
 
 fn settings(me: u32, controllers: u32, zone: u32) -> Settings {
     let class = |worth, effect, lowest_rung| Class {
@@ -69,7 +78,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 256, failure_persistence: None, ..Default::default() })]
+    #![proptest_config(drawn(256))]
 
     /// Whatever comes in, a hall is lost only by several different streamers, never while most of them
     /// answer, comes back only by an answer or a restart, and its share stays within 0 and 1.
@@ -180,7 +189,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 24, max_shrink_iters: 32, failure_persistence: None, ..Default::default() })]
+    #![proptest_config(ProptestConfig { max_shrink_iters: 32, ..drawn(24) })]
 
     /// Directors that know of a return, by the list, by failures or since they started later, keep the
     /// counted limit together, whenever each hears of it and whoever restarts in between; what they book as
--- a/crates/operator/tests/file.rs
+++ b/crates/operator/tests/file.rs
@@ -1,5 +1,6 @@
 //! The operator file: what is right is read, what is wrong is one line with its place and what is allowed.
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use stonewharf_operator::Operator;
 
 const SHIPPED: &str = include_str!("../../../deploy/operator.hcl");
@@ -77,8 +78,15 @@
     wrong(&format!("halls {{ order = {}", "[".repeat(100_000)));
 }
 
+/// So many cases from a fixed seed, so that the verdict is the same every time; PROPTEST_RNG_SEED=N draws others.
+fn drawn(cases: u32) -> ProptestConfig {
+    let seed = std::env::var("PROPTEST_RNG_SEED").ok().and_then(|text| text.parse().ok());
+    let rng_seed = RngSeed::Fixed(seed.unwrap_or(20));
+    ProptestConfig { cases, rng_seed, failure_persistence: None, ..Default::default() }
+}
+
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 512, failure_persistence: None, ..Default::default() })]
+    #![proptest_config(drawn(512))]
 
     /// Any text is read or refused in one line; nothing panics.
     #[test]
