Take proptest's own reading of PROPTEST_RNG_SEED where it is set

Cause: the lints of the sans-I/O crates refuse a test that reads the environment, and the library reads that variable already. Change: only an unset seed is replaced by the fixed one. Measured: lints and both suites pass.

--- a/crates/halls/tests/properties.rs
+++ b/crates/halls/tests/properties.rs
@@ -10,9 +10,9 @@
 
 /// So many cases from a fixed seed, so that the verdict is the same every time; PROPTEST_RNG_SEED=N draws others.
 fn drawn(cases: u32) -> ProptestConfig {
-    let seed = std::env::var("PROPTEST_RNG_SEED").ok().and_then(|text| text.parse().ok());
-    let rng_seed = RngSeed::Fixed(seed.unwrap_or(SEED));
-    ProptestConfig { cases, rng_seed, failure_persistence: None, ..Default::default() }
+    let drawn = ProptestConfig { cases, failure_persistence: None, ..Default::default() };
+    let fixed = if matches!(drawn.rng_seed, RngSeed::Random) { RngSeed::Fixed(SEED) } else { drawn.rng_seed };
+    ProptestConfig { rng_seed: fixed, ..drawn }
 }
 
 fn settings(me: u32, controllers: u32, zone: u32) -> Settings {
--- a/crates/operator/tests/file.rs
+++ b/crates/operator/tests/file.rs
@@ -80,9 +80,9 @@
 
 /// So many cases from a fixed seed, so that the verdict is the same every time; PROPTEST_RNG_SEED=N draws others.
 fn drawn(cases: u32) -> ProptestConfig {
-    let seed = std::env::var("PROPTEST_RNG_SEED").ok().and_then(|text| text.parse().ok());
-    let rng_seed = RngSeed::Fixed(seed.unwrap_or(20));
-    ProptestConfig { cases, rng_seed, failure_persistence: None, ..Default::default() }
+    let drawn = ProptestConfig { cases, failure_persistence: None, ..Default::default() };
+    let fixed = if matches!(drawn.rng_seed, RngSeed::Random) { RngSeed::Fixed(20) } else { drawn.rng_seed };
+    ProptestConfig { rng_seed: fixed, ..drawn }
 }
 
 proptest! {
