Let the seam for limits know nothing of the module: set limits behind it in a file apart

Need: limits.rs and rules.rs named each other; further subsystems behind the seam would have made the circle larger. Change: Controller::limited stands in limited.rs, which knows both.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -45,6 +45,7 @@
 
 pub mod director;
 pub mod interface;
+mod limited;
 pub mod limits;
 mod rules;
 pub mod settings;
--- a/crates/core/src/limits.rs
+++ b/crates/core/src/limits.rs
@@ -4,7 +4,6 @@
 //! widen it, so no rule that the module keeps can be broken from here. Never does I/O and never answers a
 //! request.
 use crate::interface::*;
-use crate::rules::Controller;
 
 /// Cost of a tier further in placement: more than all else there together.
 const TIER: f64 = 1e3;
@@ -56,6 +55,10 @@
 }
 
 impl Seam {
+    pub(crate) fn with(limits: Box<dyn Limits>) -> Seam {
+        Seam { now: 0, limits: Some(limits) }
+    }
+
     pub(crate) fn hear(&mut self, now: Micros, event: &Event, out: &mut Vec<Action>) {
         self.now = now;
         if let Some(limits) = &mut self.limits {
@@ -91,11 +94,3 @@
         told.map_or(usual, |told| told.min(most))
     }
 }
-
-impl Controller {
-    /// This controller with limits set on its choice, from its start on.
-    pub fn limited(mut self, limits: Box<dyn Limits>) -> Self {
-        self.limits = Seam { now: 0, limits: Some(limits) };
-        self
-    }
-}
