Give the loop's parts one shape: what is ready, what is due, the end of a turn

Need: net/mod.rs named each part by hand in four places, and peers, later a store, are to join. Change: trait Part with owns, ready, due and turned; what needs names or settings is heard through Shared. The order of what is heard stays: a viewer's messages, then its close.

--- a/src/net/bulletin.rs
+++ b/src/net/bulletin.rs
@@ -1,7 +1,9 @@
 //! The connection to the bulletin: resumed where it broke off, given up when it falls silent.
 use super::line::{Got, Line};
+use super::part::{Part, Ready};
 use super::poll::Token;
-use super::shared::{Due, Shared};
+use super::shared::{Due, Heard, Shared};
+use crate::director::Director;
 use crate::interface::Micros;
 use crate::platform::MESSAGE_MAX;
 use crate::platform::bulletin::{self, Notice};
@@ -34,11 +36,6 @@
         Bulletin { address, line: None, up: false, last, due: 0, back_off: BACK_OFF_US }
     }
 
-    /// Whether a token is its connection's.
-    pub fn has(&self, token: Token) -> bool {
-        self.line.as_ref().is_some_and(|l| l.token() == token)
-    }
-
     /// Follows the bulletin at another address from here on, beginning after the last event heard.
     pub fn follow(&mut self, shared: &mut Shared, address: SocketAddr) {
         if address == self.address {
@@ -47,11 +44,11 @@
         info!(shared.log, "the bulletin has moved"; "to" => %address, "after" => self.last);
         (self.address, self.line, self.back_off) = (address, None, BACK_OFF_US);
         self.due = shared.now;
-        self.due(shared);
+        self.look(shared);
     }
 
     /// Looks after the connection when a deadline of it has come.
-    pub fn due(&mut self, shared: &mut Shared) {
+    pub fn look(&mut self, shared: &mut Shared) {
         if shared.now < self.due {
             return; // something was heard meanwhile
         }
@@ -82,7 +79,7 @@
     }
 
     /// Reads and writes its connection; returns the new events, in order and each once.
-    pub fn ready(&mut self, shared: &mut Shared, readable: bool, writable: bool) -> Vec<Notice> {
+    fn exchange(&mut self, shared: &mut Shared, Ready { readable, writable, .. }: Ready) -> Vec<Notice> {
         let Some(line) = self.line.as_mut() else { return Vec::new() };
         if writable && !self.up {
             if let Err(why) = line.outcome() {
@@ -146,6 +143,25 @@
     }
 }
 
+impl Part for Bulletin {
+    fn owns(&self, token: Token) -> bool {
+        self.line.as_ref().is_some_and(|l| l.token() == token)
+    }
+
+    fn ready(&mut self, shared: &mut Shared, _: &Director, ready: Ready) {
+        let news = self.exchange(shared, ready);
+        shared.heard.extend(news.into_iter().map(Heard::Notice));
+    }
+
+    fn due(&mut self, shared: &mut Shared, _: &Director, due: Due) -> bool {
+        let own = due == Due::Bulletin;
+        if own {
+            self.look(shared);
+        }
+        own
+    }
+}
+
 fn whole_line(bytes: &[u8]) -> Result<Option<(Vec<u8>, usize)>, ()> {
     match bytes.iter().position(|b| *b == b'\n') {
         Some(end) => Ok(Some((bytes.get(..end).unwrap_or_default().to_vec(), end + 1))),
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -3,6 +3,7 @@
 mod bulletin;
 mod line;
 pub mod logging;
+mod part;
 mod poll;
 mod shared;
 mod signals;
@@ -18,8 +19,9 @@
 use crate::platform::viewer::{self, FromViewer, SetUp};
 use crate::settings::{Carriage, NameError, Vocabulary, Wanted};
 use bulletin::Bulletin;
+use part::{Parts, Ready};
 use poll::Poll;
-use shared::{Due, Shared};
+use shared::{Due, Heard, Shared};
 use signals::{Asked, Signals};
 use slog::{Logger, debug, info, trace, warn};
 use std::io;
@@ -108,9 +110,7 @@
     carriage: Carriage,
     shared: Shared,
     signals: Signals,
-    viewers: Viewers,
-    streamers: Streamers,
-    bulletin: Bulletin,
+    parts: Parts,
     file: Option<PathBuf>,
     /// The operator file and what it set, where one is used.
     operator: Option<(PathBuf, SharedHalls)>,
@@ -147,8 +147,8 @@
         }
         let poll = Poll::new()?;
         let signals = Signals::take()?;
-        let (deadlines, inputs) = Default::default();
-        let mut shared = Shared { poll, deadlines, inputs, counters: Counters::default(), log, now };
+        let (deadlines, inputs, heard, counters) = Default::default();
+        let mut shared = Shared { poll, deadlines, inputs, heard, counters, log, now };
         let sockets = config.limits.sockets.saturating_sub(OWN_DESCRIPTORS);
         let viewers = Viewers::listen(&mut shared, config.listen, sockets / 2)
             .map_err(|why| NodeError::Listen(config.listen, why))?;
@@ -162,9 +162,7 @@
             carriage,
             shared,
             signals,
-            viewers,
-            streamers,
-            bulletin,
+            parts: Parts { viewers, streamers, bulletin },
             file: config.file().map(Path::to_owned),
             operator,
             ending,
@@ -172,14 +170,14 @@
             tracing: false,
         };
         config.known.items.iter().for_each(|notice| node.notice(notice, true));
-        node.bulletin.due(&mut node.shared);
-        node.shared.wake(streamers::WATCH_US, Due::Watch);
+        node.parts.bulletin.look(&mut node.shared);
+        node.parts.streamers.begin(&mut node.shared);
         Ok(node)
     }
 
     /// Where it listens.
     pub fn address(&self) -> io::Result<SocketAddr> {
-        self.viewers.address()
+        self.parts.viewers.address()
     }
 
     /// What has been counted so far.
@@ -216,7 +214,8 @@
         let asked: Vec<Asked> = self.signals.asked().collect();
         asked.into_iter().for_each(|asked| self.asked(asked));
         for (token, readable, writable) in ready {
-            self.ready(token, readable, writable);
+            self.parts.ready(&mut self.shared, &self.director, Ready { token, readable, writable });
+            self.take_in();
         }
         while let Some(due) = self.shared.deadlines.due(self.shared.now) {
             self.due(due);
@@ -235,25 +234,18 @@
             }
             deeds.into_iter().for_each(|deed| self.carry_out(deed));
         }
-        self.viewers.close_ended(&mut self.shared);
+        self.parts.turned(&mut self.shared);
         Ok(())
     }
 
-    fn ready(&mut self, token: usize, readable: bool, writable: bool) {
-        let shared = &mut self.shared;
-        if self.viewers.has(token) {
-            let (messages, ended) = self.viewers.ready(shared, token, readable, writable);
-            messages.into_iter().for_each(|message| self.heard_viewer(ViewerLink(token), message));
-            if ended {
-                self.viewers.ended(&mut self.shared, token);
+    /// Takes in what the parts have heard.
+    fn take_in(&mut self) {
+        for heard in std::mem::take(&mut self.shared.heard) {
+            match heard {
+                Heard::Viewer(link, message) => self.heard_viewer(link, message),
+                Heard::Closed(token) => self.parts.viewers.ended(&mut self.shared, token),
+                Heard::Notice(notice) => self.notice(&notice, false),
             }
-        } else if self.streamers.has(token) {
-            self.streamers.ready(shared, token, readable, writable);
-        } else if self.viewers.is_listener(token) {
-            self.viewers.accept(shared, &self.director);
-        } else if self.bulletin.has(token) {
-            let news = self.bulletin.ready(shared, readable, writable);
-            news.iter().for_each(|notice| self.notice(notice, false));
         }
     }
 
@@ -297,31 +289,21 @@
                     halls.0.borrow_mut().configure(halls_of(own), class, |name| zones.zone(name));
                 }
                 info!(self.shared.log, "the configuration was read again");
-                self.bulletin.follow(&mut self.shared, config.bulletin);
+                self.parts.bulletin.follow(&mut self.shared, config.bulletin);
             }
             Err(why) => warn!(self.shared.log, "the old configuration stays: {why}"),
         }
     }
 
     fn due(&mut self, due: Due) {
-        let shared = &mut self.shared;
         match due {
-            Due::Core(due) => shared.inputs.push(Input::Due(due)),
-            Due::Dial(token) => self.streamers.dial_due(shared, token),
-            Due::Probe(token, id) => self.streamers.probe_due(shared, token, id),
-            Due::GiveUp(token, attempt) => self.streamers.give_up_due(shared, token, attempt),
-            Due::Watch => {
-                self.streamers.watch(shared, |s| self.director.standing_at(s));
-                shared.wake(streamers::WATCH_US, Due::Watch);
-            }
-            Due::Bulletin => self.bulletin.due(shared),
-            Due::Viewer(token) => self.viewers.due(shared, token, &self.director),
-            Due::Accept => self.viewers.resume(shared, &self.director),
+            Due::Core(due) => self.shared.inputs.push(Input::Due(due)),
             Due::Quit => {
                 let deeds = self.director.close();
                 deeds.into_iter().for_each(|deed| self.carry_out(deed));
                 self.done = true;
             }
+            due => self.parts.due(&mut self.shared, &self.director, due),
         }
     }
 
@@ -331,7 +313,7 @@
             FromViewer::Left(id) => self.shared.inputs.push(Input::ViewerLeft(link, id)),
             FromViewer::Test(id) => {
                 let result = viewer::test_result(id, !self.ending);
-                self.viewers.say(&mut self.shared, link, &result);
+                self.parts.viewers.say(&mut self.shared, link, &result);
             }
             FromViewer::Unusable(id, why) => {
                 debug!(self.shared.log, "a set-up can't be used: {why}");
@@ -368,7 +350,7 @@
         };
         self.shared.inputs.push(match &set_up.at {
             Some(at) => {
-                self.viewers.brought(link);
+                self.parts.viewers.brought(link);
                 let streamer = StreamerId(self.names.streamers.known(at).unwrap_or(u32::MAX));
                 Input::Playing { link, request, streamer }
             }
@@ -393,7 +375,7 @@
             ListScope::Full if known => ListScope::Cached,
             scope => scope,
         };
-        self.streamers.list(&mut self.shared, scope, &entries);
+        self.parts.streamers.list(&mut self.shared, scope, &entries);
         for (entry, _) in entries.iter().filter(|e| e.0.standing == Standing::Gone) {
             self.names.streamers.forget(entry.streamer.0);
         }
@@ -405,31 +387,31 @@
         let shared = &mut self.shared;
         match deed {
             Deed::Answer(link, id, description) => match viewer::answer(id, &description) {
-                Some(bytes) => self.viewers.stands(shared, link, &bytes),
-                None => self.viewers.say(shared, link, &viewer::release(id, viewer::CAUSE_FAILED)),
+                Some(bytes) => self.parts.viewers.stands(shared, link, &bytes),
+                None => self.parts.viewers.say(shared, link, &viewer::release(id, viewer::CAUSE_FAILED)),
             },
             Deed::Refuse(link, id, hold_off_us) => {
-                self.viewers.say(shared, link, &viewer::refusal(id, hold_off_us / 1000));
+                self.parts.viewers.say(shared, link, &viewer::refusal(id, hold_off_us / 1000));
             }
             Deed::Fail(link, id) => {
-                self.viewers.say(shared, link, &viewer::release(id, viewer::CAUSE_FAILED));
+                self.parts.viewers.say(shared, link, &viewer::release(id, viewer::CAUSE_FAILED));
             }
-            Deed::Spurn(link, id) => self.viewers.spurn(shared, link, id),
+            Deed::Spurn(link, id) => self.parts.viewers.spurn(shared, link, id),
             Deed::Release(link, id, why) => {
                 let cause = if why == Over::Ended { viewer::CAUSE_ENDED } else { viewer::CAUSE_FAILED };
-                self.viewers.release(shared, link, viewer::release(id, cause));
+                self.parts.viewers.release(shared, link, viewer::release(id, cause));
             }
-            Deed::MoveOff(link, id) => self.viewers.release(shared, link, viewer::move_off(id)),
+            Deed::MoveOff(link, id) => self.parts.viewers.release(shared, link, viewer::move_off(id)),
             Deed::SetUp { streamer, attempt, rung, until, parcel } => {
-                self.streamers.set_up(shared, streamer, attempt, rung, until, parcel);
+                self.parts.streamers.set_up(shared, streamer, attempt, rung, until, parcel);
             }
-            Deed::GiveUp(streamer, attempt) => self.streamers.give_up(shared, streamer, attempt),
-            Deed::Drop(streamer, id) => self.streamers.word(shared, streamer, rtsp::release(id)),
+            Deed::GiveUp(streamer, attempt) => self.parts.streamers.give_up(shared, streamer, attempt),
+            Deed::Drop(streamer, id) => self.parts.streamers.word(shared, streamer, rtsp::release(id)),
             Deed::Rung(streamer, id, rung) => {
-                self.streamers.word(shared, streamer, rtsp::rung(id, rung));
+                self.parts.streamers.word(shared, streamer, rtsp::rung(id, rung));
             }
-            Deed::Probe(streamer) => self.streamers.probe(shared, streamer),
-            Deed::Attend(streamer) => self.streamers.attend(shared, streamer),
+            Deed::Probe(streamer) => self.parts.streamers.probe(shared, streamer),
+            Deed::Attend(streamer) => self.parts.streamers.attend(shared, streamer),
             Deed::Wake(at, due) => shared.deadlines.set(at, Due::Core(due)),
             Deed::Log(words) => info!(shared.log, "{words}"),
         }
--- /dev/null
+++ b/src/net/part.rs
@@ -0,0 +1,69 @@
+//! The one shape of the loop's parts: each owns some descriptors and deadlines, takes what comes of them, and
+//! leaves what the rest of the program must know in [`Shared`]. A part decides nothing and knows no other.
+use super::bulletin::Bulletin;
+use super::poll::Token;
+use super::shared::{Due, Shared};
+use super::streamers::Streamers;
+use super::viewers::Viewers;
+use crate::director::Director;
+
+/// A descriptor that is ready.
+#[derive(Clone, Copy, Debug)]
+pub struct Ready {
+    /// Whose.
+    pub token: Token,
+    /// Something can be read, or its end has come.
+    pub readable: bool,
+    /// Something can be written.
+    pub writable: bool,
+}
+
+/// A part of the loop.
+pub trait Part {
+    /// Whether a token is one of its own.
+    fn owns(&self, token: Token) -> bool;
+
+    /// Reads and writes one of its descriptors.
+    fn ready(&mut self, shared: &mut Shared, director: &Director, ready: Ready);
+
+    /// Acts on a deadline; false where it is not one of its own.
+    fn due(&mut self, shared: &mut Shared, director: &Director, due: Due) -> bool;
+
+    /// The turn is over: what was put off to its end.
+    fn turned(&mut self, _shared: &mut Shared) {}
+}
+
+/// All parts of a director's loop, by name for whoever has something for one of them.
+pub struct Parts {
+    /// Where viewers come in.
+    pub viewers: Viewers,
+    /// The connections to streamers.
+    pub streamers: Streamers,
+    /// The connection to the bulletin.
+    pub bulletin: Bulletin,
+}
+
+impl Parts {
+    /// Each of them, in the order in which a token or a deadline is offered.
+    fn each(&mut self) -> impl Iterator<Item = &mut dyn Part> {
+        let Parts { viewers, streamers, bulletin } = self;
+        [viewers as &mut dyn Part, streamers, bulletin].into_iter()
+    }
+
+    /// Hands a descriptor that is ready to whose it is; one that is nobody's any more is passed over.
+    pub fn ready(&mut self, shared: &mut Shared, director: &Director, ready: Ready) {
+        if let Some(part) = self.each().find(|part| part.owns(ready.token)) {
+            part.ready(shared, director, ready);
+        }
+    }
+
+    /// Hands a deadline to whose it is.
+    pub fn due(&mut self, shared: &mut Shared, director: &Director, due: Due) {
+        let _ = self.each().any(|part| part.due(shared, director, due));
+    }
+
+    /// Tells each that the turn is over.
+    pub fn turned(&mut self, shared: &mut Shared) {
+        self.each().for_each(|part| part.turned(shared));
+    }
+}
--- a/src/net/shared.rs
+++ b/src/net/shared.rs
@@ -1,7 +1,9 @@
 //! What all parts of the loop work with in a turn.
 use super::poll::{Poll, Token};
-use crate::director::{self, Attempt, Counters, Deadlines, Input};
+use crate::director::{self, Attempt, Counters, Deadlines, Input, ViewerLink};
 use crate::interface::{Micros, RequestId};
+use crate::platform::bulletin::Notice;
+use crate::platform::viewer::FromViewer;
 use slog::Logger;
 
 /// Every deadline of the program, the core's among them.
@@ -27,6 +29,16 @@
     Quit,
 }
 
+/// What a part heard that needs names or settings before the core can hear it.
+pub enum Heard {
+    /// A message from viewers.
+    Viewer(ViewerLink, FromViewer),
+    /// A connection that its viewer has closed, behind its last message.
+    Closed(Token),
+    /// An event of the bulletin.
+    Notice(Notice),
+}
+
 /// The loop's tools, and what it has gathered for the core.
 pub struct Shared {
     /// The poller.
@@ -35,6 +47,8 @@
     pub deadlines: Deadlines<Due>,
     /// What the core is to hear this turn.
     pub inputs: Vec<Input>,
+    /// What has been heard and not yet taken in, in order.
+    pub heard: Vec<Heard>,
     /// What the transport counts.
     pub counters: Counters,
     /// The program's log.
--- a/src/net/streamers.rs
+++ b/src/net/streamers.rs
@@ -1,9 +1,10 @@
 //! The streamers' side: for each streamer of the list a pool of connections, what is queued on them, and
 //! the signs that tell a silent streamer from a lost one. Which streamer gets what is decided elsewhere.
 use super::line::{Got, Line};
+use super::part::{Part, Ready};
 use super::poll::Token;
 use super::shared::{Due, Shared};
-use crate::director::{Attempt, Input, Over, Parcel, Unsent};
+use crate::director::{Attempt, Director, Input, Over, Parcel, Unsent};
 use crate::interface::{Entry, ListScope, LoadReport, Micros, Outcome, RequestId, Standing, StreamerId};
 use crate::platform::rtsp::{self, FromStreamer};
 use crate::settings::Carriage;
@@ -14,7 +15,7 @@
 use std::rc::Rc;
 
 /// Between looks at the connections.
-pub const WATCH_US: Micros = 250_000;
+const WATCH_US: Micros = 250_000;
 /// A give-up that is not written after this is carried out by closing its connection.
 const GIVE_UP_US: Micros = 100_000;
 /// A set-up goes on a connection whose streamer was heard of so lately, else on a new one: a streamer that
@@ -97,9 +98,9 @@
         Streamers { pools: BTreeMap::new(), links: BTreeMap::new(), carriage, most, last_test: 0 }
     }
 
-    /// Whether a token is one of the connections'.
-    pub fn has(&self, token: Token) -> bool {
-        self.links.contains_key(&token)
+    /// Begins to look after the connections.
+    pub fn begin(&self, shared: &mut Shared) {
+        shared.wake(WATCH_US, Due::Watch);
     }
 
     /// Takes the list's news.
@@ -218,7 +219,7 @@
     }
 
     /// A give-up that a connection still holds back is carried out by closing it.
-    pub fn give_up_due(&mut self, shared: &mut Shared, token: Token, attempt: Attempt) {
+    fn give_up_due(&mut self, shared: &mut Shared, token: Token, attempt: Attempt) {
         let Some(link) = self.links.get(&token) else { return };
         let waits = |s: &Saying| matches!(s, Saying::GiveUp(a) if *a == attempt);
         if link.writing == Some(Writing::GiveUp(attempt)) || link.queue.iter().any(waits) {
@@ -269,7 +270,7 @@
     }
 
     /// A load test without an answer.
-    pub fn probe_due(&mut self, shared: &mut Shared, token: Token, id: RequestId) {
+    fn probe_due(&mut self, shared: &mut Shared, token: Token, id: RequestId) {
         let Some(link) = self.links.get_mut(&token) else { return };
         if link.tests.remove(&id) {
             let (streamer, report) = (link.streamer, LoadReport::default());
@@ -376,7 +377,7 @@
     }
 
     /// A connection that has not come up in time never does.
-    pub fn dial_due(&mut self, shared: &mut Shared, token: Token) {
+    fn dial_due(&mut self, shared: &mut Shared, token: Token) {
         if self.links.get(&token).is_some_and(|l| !l.up) {
             self.never_up(shared, token, &io::ErrorKind::TimedOut.into());
         }
@@ -390,7 +391,7 @@
     }
 
     /// Reads and writes a connection that is ready.
-    pub fn ready(&mut self, shared: &mut Shared, token: Token, readable: bool, writable: bool) {
+    fn exchange(&mut self, shared: &mut Shared, Ready { token, readable, writable }: Ready) {
         let Some(link) = self.links.get_mut(&token) else { return };
         if !link.up {
             if !writable {
@@ -523,7 +524,7 @@
 
     /// Looks after all connections: keeps one to each streamer with sessions, checks on silent ones, closes
     /// idle ones before their streamer does.
-    pub fn watch(&mut self, shared: &mut Shared, standing_at: impl Fn(StreamerId) -> usize) {
+    fn watch(&mut self, shared: &mut Shared, standing_at: impl Fn(StreamerId) -> usize) {
         let now = shared.now;
         let idle = |l: &&Link| {
             l.up && l.open.is_empty()
@@ -563,6 +564,30 @@
     }
 }
 
+impl Part for Streamers {
+    fn owns(&self, token: Token) -> bool {
+        self.links.contains_key(&token)
+    }
+
+    fn ready(&mut self, shared: &mut Shared, _: &Director, ready: Ready) {
+        self.exchange(shared, ready);
+    }
+
+    fn due(&mut self, shared: &mut Shared, director: &Director, due: Due) -> bool {
+        match due {
+            Due::Dial(token) => self.dial_due(shared, token),
+            Due::Probe(token, id) => self.probe_due(shared, token, id),
+            Due::GiveUp(token, attempt) => self.give_up_due(shared, token, attempt),
+            Due::Watch => {
+                self.watch(shared, |s| director.standing_at(s));
+                shared.wake(WATCH_US, Due::Watch);
+            }
+            _ => return false,
+        }
+        true
+    }
+}
+
 impl Link {
     /// Takes a set-up back that is being written, if not a byte of it has left.
     fn take_back(&mut self, attempt: Attempt) -> bool {
--- a/src/net/viewers.rs
+++ b/src/net/viewers.rs
@@ -1,11 +1,12 @@
 //! The viewers' side: the listener and the connections that viewers' sessions come in on. A connection that
 //! says nothing, or nothing that can be answered, is closed; a full table makes room.
 use super::line::{Got, Line};
+use super::part::{Part, Ready};
 use super::poll::{Token, Watched};
-use super::shared::{Due, Shared};
+use super::shared::{Due, Heard, Shared};
 use crate::director::{Director, Input, ViewerLink};
 use crate::interface::{Micros, RequestId};
-use crate::platform::viewer::{self, FromViewer};
+use crate::platform::viewer;
 use slog::{debug, info, warn};
 use socket2::{Domain, Protocol, Socket, Type};
 use std::collections::{BTreeMap, VecDeque};
@@ -75,18 +76,8 @@
         self.listener.source().local_addr()
     }
 
-    /// Whether a token is the listener's.
-    pub fn is_listener(&self, token: Token) -> bool {
-        self.listener.token() == token
-    }
-
-    /// Whether a token is one of the connections'.
-    pub fn has(&self, token: Token) -> bool {
-        self.callers.contains_key(&token)
-    }
-
     /// Takes the connections that wait. A full table makes room for them.
-    pub fn accept(&mut self, shared: &mut Shared, director: &Director) {
+    fn accept(&mut self, shared: &mut Shared, director: &Director) {
         for _ in 0..ACCEPT_MOST {
             if self.callers.len() >= self.most && !self.make_room(shared, director) {
                 return self.pause(shared); // the backlog keeps them
@@ -151,7 +142,7 @@
 
     /// Looks after a connection: closes one that has said nothing in its time, holds a message back, or has
     /// had nothing on it for long.
-    pub fn due(&mut self, shared: &mut Shared, token: Token, director: &Director) {
+    fn look(&mut self, shared: &mut Shared, token: Token, director: &Director) {
         let Some(caller) = self.callers.get(&token) else { return };
         let (open, standing) = director.on_link(ViewerLink(token));
         let over = |since: Micros, span: Micros| since.saturating_add(span) <= shared.now;
@@ -173,29 +164,23 @@
     }
 
     /// Takes connections again after a pause.
-    pub fn resume(&mut self, shared: &mut Shared, director: &Director) {
+    fn resume(&mut self, shared: &mut Shared, director: &Director) {
         if let Err(why) = self.listener.interest(true, false) {
             warn!(shared.log, "the listener can't be watched: {why}");
         }
         self.accept(shared, director);
     }
 
-    /// Reads and writes a connection that is ready; returns the whole messages that came, and whether its
-    /// viewer has closed it behind them.
-    pub fn ready(
-        &mut self,
-        shared: &mut Shared,
-        token: Token,
-        readable: bool,
-        writable: bool,
-    ) -> (Vec<FromViewer>, bool) {
-        let Some(caller) = self.callers.get_mut(&token) else { return (Vec::new(), true) };
+    /// Reads and writes a connection that is ready; what came whole is heard, and behind it that its viewer
+    /// has closed it.
+    fn exchange(&mut self, shared: &mut Shared, Ready { token, readable, writable }: Ready) {
+        let Some(caller) = self.callers.get_mut(&token) else { return };
         if writable && let Err(why) = caller.line.write() {
             debug!(shared.log, "a connection from viewers broke: {why}");
-            return (Vec::new(), true);
+            return shared.heard.push(Heard::Closed(token));
         }
         if !readable {
-            return (Vec::new(), false);
+            return;
         }
         let got = caller.line.read();
         let (whole, bad) = caller.line.take(viewer::read);
@@ -214,7 +199,10 @@
         if let Err(why) = &got {
             debug!(shared.log, "a connection from viewers broke: {why}");
         }
-        (whole, !matches!(got, Ok(Got::Bytes)))
+        shared.heard.extend(whole.into_iter().map(|message| Heard::Viewer(ViewerLink(token), message)));
+        if !matches!(got, Ok(Got::Bytes)) {
+            shared.heard.push(Heard::Closed(token));
+        }
     }
 
     /// Closes a connection that its viewer has closed.
@@ -222,11 +210,6 @@
         self.close(shared, token);
     }
 
-    /// Closes the connections with something that can't be read.
-    pub fn close_ended(&mut self, shared: &mut Shared) {
-        std::mem::take(&mut self.ending).into_iter().for_each(|token| self.close(shared, token));
-    }
-
     /// A connection brought a session that plays already and wants no answer.
     pub fn brought(&mut self, link: ViewerLink) {
         if let Some(caller) = self.callers.get_mut(&link.0) {
@@ -301,3 +284,31 @@
         }
     }
 }
+
+impl Part for Viewers {
+    fn owns(&self, token: Token) -> bool {
+        self.callers.contains_key(&token) || self.listener.token() == token
+    }
+
+    fn ready(&mut self, shared: &mut Shared, director: &Director, ready: Ready) {
+        if self.listener.token() == ready.token {
+            self.accept(shared, director);
+        } else {
+            self.exchange(shared, ready);
+        }
+    }
+
+    fn due(&mut self, shared: &mut Shared, director: &Director, due: Due) -> bool {
+        match due {
+            Due::Viewer(token) => self.look(shared, token, director),
+            Due::Accept => self.resume(shared, director),
+            _ => return false,
+        }
+        true
+    }
+
+    /// Closes the connections with something that can't be read.
+    fn turned(&mut self, shared: &mut Shared) {
+        std::mem::take(&mut self.ending).into_iter().for_each(|token| self.close(shared, token));
+    }
+}
