Directors that know of each other: members, suspicion by several observers, sockets (off)

Need: what is agreed later stands on who is in the fleet. Change: crates/fleet, no I/O: SWIM by foca 2 (no I/O of its own, the library the design names; suspicion, piggybacked news, rejoin), and on top observers drawn by rendezvous hashing (xxhash-rust) that check a member in question themselves; three of them make it lost, one that heard it stands against. A process that stood still accuses nobody. Bytes by postcard, bounded before decoding. src/net/peers.rs: one UDP socket, one listener, few links with bounded queues, as a part of the loop. stonewharf fleet members prints the view (comfy-table). crates/model plays the real thing on a virtual network; stonewharf model fleet.

--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -8,12 +8,14 @@
 #![warn(missing_docs)]
 
 mod audit;
+mod members;
 mod report;
 mod run;
 mod scenario;
 mod world;
 
 pub use audit::Broken;
+pub use members::{Membership, Plan, Trouble, members};
 pub use report::{ReportError, compare, html};
 pub use run::{Outcome, Sample, run};
 pub use scenario::{Incident, Kind, Scenario, ScenarioError};
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -8,6 +8,7 @@
 
 use places::Places;
 use serde::{Deserialize, Serialize};
+use stonewharf_fleet::FleetSettings;
 use stonewharf_halls::HallSettings;
 
 /// The largest operator file, bytes: far above what any needs.
@@ -21,6 +22,8 @@
 pub struct Operator {
     /// Loss and return of a hall.
     pub halls: Option<HallSettings>,
+    /// Directors that know of each other.
+    pub fleet: Option<FleetSettings>,
 }
 
 /// What is wrong with an operator file.
@@ -85,18 +88,25 @@
                 }
             }
         }
+        if let Some(fleet) = &operator.fleet {
+            fleet
+                .check()
+                .map_err(|why| error(places.line(&format!("fleet.{}", why.key)), format!("fleet.{why}")))?;
+        }
         Ok(operator)
     }
 
     /// The settings in force, as HCL: what was given and the defaults of the blocks that are there.
     pub fn effective(&self) -> String {
         let mut text = String::new();
-        if let Some(halls) = &self.halls {
-            let body = hcl::to_string(halls).unwrap_or_default();
-            text.push_str("halls {\n");
+        let mut block = |name: &str, body: Option<String>| {
+            let Some(body) = body else { return };
+            text.push_str(&format!("{name} {{\n"));
             body.lines().for_each(|line| text.push_str(&format!("  {line}\n")));
             text.push_str("}\n");
-        }
+        };
+        block("halls", self.halls.as_ref().and_then(|halls| hcl::to_string(halls).ok()));
+        block("fleet", self.fleet.as_ref().and_then(|fleet| hcl::to_string(fleet).ok()));
         text
     }
 }
--- a/src/cli.rs
+++ b/src/cli/mod.rs
@@ -1,5 +1,7 @@
 //! The command line: what it takes, and which part of the library serves it. Without arguments the director
 //! is served as `LB_CONFIG` says. Wrong arguments and files end with one clear line and a failure.
+mod members;
+
 use crate::net::logging::{self, Format};
 use crate::net::{Node, NodeError, operator};
 use crate::platform::config::Config;
@@ -9,7 +11,7 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use stonewharf_core::SettingsError;
-use stonewharf_model::{Outcome, ReportError, Scenario, ScenarioError};
+use stonewharf_model::{Membership, Outcome, Plan, ReportError, Scenario, ScenarioError, Trouble};
 
 /// A director of media sessions: admits, places and rates them, and answers each request once.
 ///
@@ -29,6 +31,9 @@
     ///
     /// Exits 1 where something is wrong, with file, line and what is allowed there.
     Check(Files),
+    /// Ask a running director about the fleet that it is in.
+    #[command(subcommand)]
+    Fleet(FleetAsked),
     /// Play scenarios in simulated time round the real core.
     #[command(subcommand)]
     Model(Model),
@@ -39,6 +44,24 @@
     },
 }
 
+#[derive(Subcommand)]
+enum FleetAsked {
+    /// Who is in the fleet, as the director sees it.
+    ///
+    /// Exits 1 with one line where it does not answer within 2 s.
+    Members {
+        /// The director's operator file, for the cluster and where it listens for peers.
+        #[arg(long, value_name = "FILE")]
+        operator: PathBuf,
+        /// Another director of the cluster, by where it listens for peers.
+        #[arg(long, value_name = "ADDRESS")]
+        at: Option<std::net::SocketAddr>,
+        /// Print the view as JSON.
+        #[arg(long)]
+        json: bool,
+    },
+}
+
 #[derive(Subcommand)]
 enum Model {
     /// Play a scenario and write DIR/result.json and DIR/report.html.
@@ -57,6 +80,29 @@
         #[arg(long, value_name = "DIR")]
         out: PathBuf,
     },
+    /// Play the fleet's membership on a virtual network: deaths, loss of packets, and what it costs.
+    ///
+    /// Prints one line, or all figures as JSON. The same seed gives the same.
+    Fleet {
+        /// Directors, 2 to 4,000.
+        #[arg(long, default_value_t = 30, value_parser = clap::value_parser!(u32).range(2..=4_000))]
+        directors: u32,
+        /// Simulated seconds.
+        #[arg(long, default_value_t = 60.0)]
+        seconds: f64,
+        /// Share of all packets that is lost, 0 to 0.9.
+        #[arg(long, default_value_t = 0.0)]
+        loss: f64,
+        /// Directors that are killed, one after another, 10 s after the start and every 4 s from there on.
+        #[arg(long, default_value_t = 0)]
+        kill: u32,
+        /// The seed of all chance.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Print all figures as JSON.
+        #[arg(long)]
+        json: bool,
+    },
     /// Put two results side by side.
     Compare {
         /// A folder of a run, or its result.json.
@@ -124,6 +170,12 @@
         None => serve(&Serve::default()),
         Some(Command::Serve(args)) => serve(&args),
         Some(Command::Check(files)) => told(check(&files)),
+        Some(Command::Fleet(FleetAsked::Members { operator, at, json })) => {
+            match members::ask(&operator, at).and_then(|view| members::print(&view, json)) {
+                Ok(()) => ExitCode::SUCCESS,
+                Err(why) => failed(&why),
+            }
+        }
         Some(Command::Model(model)) => modelled(model),
         Some(Command::Completions { shell }) => {
             clap_complete::generate(shell, &mut Line::command(), "stonewharf", &mut io::stdout());
@@ -136,10 +188,7 @@
 fn told(result: Result<(), NodeError>) -> ExitCode {
     match result {
         Ok(()) => ExitCode::SUCCESS,
-        Err(why) => {
-            let _ = writeln!(io::stderr(), "stonewharf: {why}"); // it may be closed
-            ExitCode::FAILURE
-        }
+        Err(why) => failed(&why),
     }
 }
 
@@ -203,6 +252,21 @@
 fn modelled(model: Model) -> ExitCode {
     let done = match model {
         Model::Run { scenario, seed, set, out } => model_run(&scenario, seed, &set, &out),
+        Model::Fleet { directors, seconds, loss, kill, seed, json } => {
+            let (directors, kill) = (directors as usize, kill as usize);
+            let killed = |n: usize| (10.0 + 4.0 * n as f64, Trouble::Kill { who: directors - 1 - n });
+            let plan = Plan {
+                directors,
+                seconds: seconds.clamp(1.0, 86_400.0),
+                loss: loss.clamp(0.0, 0.9),
+                // Not while they find each other.
+                counted_from: seconds.clamp(1.0, 86_400.0) / 2.0,
+                troubles: (0..kill.min(directors - 1)).map(killed).collect(),
+                ..Plan::default()
+            };
+            print_members(&stonewharf_model::members(&plan, seed), json);
+            Ok(())
+        }
         Model::Compare { first, second } => result_of(&first).and_then(|first| {
             let _ = write!(io::stdout(), "{}", stonewharf_model::compare(&first, &result_of(&second)?));
             Ok(())
@@ -210,13 +274,38 @@
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
-        Err(why) => {
-            let _ = writeln!(io::stderr(), "stonewharf: {why}"); // it may be closed
-            ExitCode::FAILURE
-        }
+        Err(why) => failed(&why),
     }
 }
 
+fn print_members(m: &Membership, json: bool) {
+    let text = if json {
+        serde_json::to_string(m).unwrap_or_default()
+    } else {
+        format!(
+            "directors={} found_p50_s={:.2} found_p99_s={:.2} found={} missed={} wrong_removals={} doubts={} \
+             bytes_per_s={:.0} bytes_per_s_most={:.0} members={}",
+            m.directors,
+            m.found(0.5),
+            m.found(0.99),
+            m.found_s.len(),
+            m.missed,
+            m.wrong_removals,
+            m.doubts,
+            m.bytes_per_s,
+            m.bytes_per_s_most,
+            m.members
+        )
+    };
+    let _ = writeln!(io::stdout(), "{text}"); // whoever closed it has seen enough
+}
+
+/// One line on standard error, and a failure.
+fn failed(why: &dyn std::fmt::Display) -> ExitCode {
+    let _ = writeln!(io::stderr(), "stonewharf: {why}"); // it may be closed
+    ExitCode::FAILURE
+}
+
 fn model_run(file: &Path, seed: u64, sets: &[String], out: &Path) -> Result<(), ModelError> {
     let unread = |why| ModelError::File(file.to_owned(), why);
     let text = String::from_utf8_lossy(&std::fs::read(file).map_err(unread)?).into_owned();
--- a/src/net/line.rs
+++ b/src/net/line.rs
@@ -3,7 +3,7 @@
 use rustix::io::Errno;
 use socket2::{Domain, Protocol, Socket, Type};
 use std::io::{self, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{IpAddr, SocketAddr, TcpStream};
 
 /// Bytes read from one connection in one turn at most, so that none keeps the others waiting.
 const READ_MOST: usize = 64 * 1024;
@@ -38,8 +38,16 @@
 
     /// Begins to connect; readiness to write tells when that is over, [`Line::outcome`] how.
     pub fn dial(poll: &mut Poll, to: SocketAddr) -> io::Result<Self> {
+        Line::dial_from(poll, None, to)
+    }
+
+    /// The same, from an address of this machine.
+    pub fn dial_from(poll: &mut Poll, from: Option<IpAddr>, to: SocketAddr) -> io::Result<Self> {
         let socket = Socket::new(Domain::for_address(to), Type::STREAM, Some(Protocol::TCP))?;
         socket.set_nonblocking(true)?;
+        if let Some(from) = from {
+            socket.bind(&SocketAddr::new(from, 0).into())?;
+        }
         socket.set_tcp_nodelay(true)?;
         match socket.connect(&to.into()) {
             Ok(()) => {}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,8 +2,10 @@
 //! carries out what came back. It decides nothing.
 mod bulletin;
 mod line;
+mod lives;
 pub mod logging;
 mod part;
+mod peers;
 mod poll;
 mod shared;
 mod signals;
@@ -20,6 +22,7 @@
 use crate::settings::{Carriage, NameError, Vocabulary, Wanted};
 use bulletin::Bulletin;
 use part::{Parts, Ready};
+use peers::Peers;
 use poll::Poll;
 use shared::{Due, Heard, Shared};
 use signals::{Asked, Signals};
@@ -29,6 +32,7 @@
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use stonewharf_fleet::{Fleet, FleetSettings, Me};
 use stonewharf_halls::{HallSettings, Halls, SharedHalls};
 use stonewharf_operator::{Known, Operator, OperatorError};
 use streamers::Streamers;
@@ -65,6 +69,9 @@
     /// The operator file is of no use.
     #[error("operator file {0}")]
     Operator(#[from] OperatorError),
+    /// The fleet's settings can't be used here.
+    #[error("operator file, block fleet: {0}")]
+    Fleet(String),
     /// The operator file can't be read.
     #[error("operator file {0}: {1}")]
     OperatorUnread(String, io::Error),
@@ -97,6 +104,33 @@
     }
 }
 
+/// Digest of the operator file's settings in force, but for what belongs to one machine.
+fn digest(operator: &Operator) -> u64 {
+    let fleet = operator.fleet.as_ref();
+    let shared =
+        fleet.map(|f| FleetSettings { cluster: f.cluster.clone(), names: f.names.clone(), ..<_>::default() });
+    let shared = Operator { fleet: shared, ..operator.clone() };
+    stonewharf_fleet::digest(shared.effective().as_bytes())
+}
+
+/// The fleet as one director begins with it, where its block is there and on.
+fn fleet_of(
+    set: &FleetSettings,
+    config: &Config,
+    hall: &str,
+    digest: u64,
+    now: Micros,
+) -> Result<Fleet, NodeError> {
+    let folder = (!set.folder.is_empty()).then(|| Path::new(&set.folder));
+    let incarnation = lives::next(folder, now).map_err(|why| {
+        NodeError::Fleet(format!("folder {:?} can't keep this life's number: {why}", set.folder))
+    })?;
+    let name = if set.name.is_empty() { config.name.clone() } else { set.name.clone() };
+    let me =
+        Me { name, incarnation, hall: hall.to_owned(), version: env!("CARGO_PKG_VERSION").into(), digest };
+    Fleet::new(set, me, config.seed()?, now).map_err(|why| NodeError::Fleet(why.to_string()))
+}
+
 /// The settings of the halls; a block that is absent is off, and may come by a reload.
 fn halls_of(operator: Operator) -> HallSettings {
     operator.halls.unwrap_or(HallSettings { enabled: false, ..HallSettings::default() })
@@ -131,9 +165,15 @@
         let clock = Clock::start();
         let now = clock.now();
         let (settings, mut names, carriage) = Vocabulary::read(&config.settings)?;
+        let mut fleet = None;
         let operator = match file {
             Some(file) => {
-                let own = halls_of(operator(file, Some(&names))?);
+                let own = operator(file, Some(&names))?;
+                if let Some(set) = own.fleet.clone().filter(|set| set.enabled) {
+                    let hall = names.zones().get(settings.my_zone.0 as usize).cloned().unwrap_or_default();
+                    fleet = Some((fleet_of(&set, config, &hall, digest(&own), now)?, set));
+                }
+                let own = halls_of(own);
                 let (classes, zones) = (names.classes().to_vec(), &mut names);
                 let class = |name: &str| classes.iter().position(|c| c == name);
                 let halls = Halls::new(own, &settings, now, class, |name| zones.zone(name));
@@ -149,7 +189,16 @@
         let signals = Signals::take()?;
         let (deadlines, inputs, heard, counters) = Default::default();
         let mut shared = Shared { poll, deadlines, inputs, heard, counters, log, now };
-        let sockets = config.limits.sockets.saturating_sub(OWN_DESCRIPTORS);
+        let peers = match fleet {
+            Some((fleet, set)) => {
+                let at = set.listens_at().map_err(|why| NodeError::Fleet(why.to_string()))?;
+                let listening = Peers::listen(&mut shared, at, fleet);
+                Some(listening.map_err(|why| NodeError::Fleet(format!("can't listen on {at}: {why}")))?)
+            }
+            None => None,
+        };
+        let own = OWN_DESCRIPTORS + if peers.is_some() { peers::DESCRIPTORS } else { 0 };
+        let sockets = config.limits.sockets.saturating_sub(own);
         let viewers = Viewers::listen(&mut shared, config.listen, sockets / 2)
             .map_err(|why| NodeError::Listen(config.listen, why))?;
         let streamers = Streamers::new(carriage.clone(), sockets / 2);
@@ -162,7 +211,7 @@
             carriage,
             shared,
             signals,
-            parts: Parts { viewers, streamers, bulletin },
+            parts: Parts { viewers, streamers, bulletin, peers },
             file: config.file().map(Path::to_owned),
             operator,
             ending,
@@ -267,6 +316,7 @@
         }
         let grace = self.carriage.longest_us().min(GRACE_DEADLINE_MOST_US) + GRACE_MORE_US;
         info!(self.shared.log, "asked to end"; "grace_ms" => grace / 1000);
+        self.parts.peers.iter_mut().for_each(|peers| peers.leaving(self.shared.now));
         self.shared.wake(grace, Due::Quit);
     }
 
@@ -284,6 +334,8 @@
             Ok((config, own)) => {
                 self.shared.counters.reloads += 1;
                 if let (Some(own), Some((_, halls))) = (own, &self.operator) {
+                    let digest = digest(&own);
+                    self.parts.peers.iter_mut().for_each(|peers| peers.digest(self.shared.now, digest));
                     let (classes, zones) = (self.names.classes().to_vec(), &mut self.names);
                     let class = |name: &str| classes.iter().position(|c| c == name);
                     halls.0.borrow_mut().configure(halls_of(own), class, |name| zones.zone(name));
@@ -301,6 +353,7 @@
             Due::Quit => {
                 let deeds = self.director.close();
                 deeds.into_iter().for_each(|deed| self.carry_out(deed));
+                self.parts.peers.iter_mut().for_each(|peers| peers.leave(&mut self.shared));
                 self.done = true;
             }
             due => self.parts.due(&mut self.shared, &self.director, due),
@@ -308,6 +361,7 @@
     }
 
     fn heard_viewer(&mut self, link: ViewerLink, message: FromViewer) {
+        self.parts.peers.iter_mut().for_each(|peers| peers.serves(self.shared.now));
         match message {
             FromViewer::SetUp(set_up) => self.wanted(link, *set_up),
             FromViewer::Left(id) => self.shared.inputs.push(Input::ViewerLeft(link, id)),
--- a/src/net/part.rs
+++ b/src/net/part.rs
@@ -1,6 +1,7 @@
 //! The one shape of the loop's parts: each owns some descriptors and deadlines, takes what comes of them, and
 //! leaves what the rest of the program must know in [`Shared`]. A part decides nothing and knows no other.
 use super::bulletin::Bulletin;
+use super::peers::Peers;
 use super::poll::Token;
 use super::shared::{Due, Shared};
 use super::streamers::Streamers;
@@ -41,13 +42,16 @@
     pub streamers: Streamers,
     /// The connection to the bulletin.
     pub bulletin: Bulletin,
+    /// The sockets of the fleet, where it is on.
+    pub peers: Option<Peers>,
 }
 
 impl Parts {
     /// Each of them, in the order in which a token or a deadline is offered.
     fn each(&mut self) -> impl Iterator<Item = &mut dyn Part> {
-        let Parts { viewers, streamers, bulletin } = self;
-        [viewers as &mut dyn Part, streamers, bulletin].into_iter()
+        let Parts { viewers, streamers, bulletin, peers } = self;
+        let peers = peers.iter_mut().map(|peers| peers as &mut dyn Part);
+        [viewers as &mut dyn Part, streamers, bulletin].into_iter().chain(peers)
     }
 
     /// Hands a descriptor that is ready to whose it is; one that is nobody's any more is passed over.
--- a/src/net/shared.rs
+++ b/src/net/shared.rs
@@ -25,6 +25,10 @@
     Viewer(Token),
     /// Take connections again.
     Accept,
+    /// The fleet has something to do.
+    Fleet,
+    /// Look after a link to a peer.
+    Peer(Token),
     /// The grace time after SIGTERM is over.
     Quit,
 }
