--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -1,5 +1,5 @@
-//! The fleet as one director sees it: records of all others, changed by what comes in and by time, and what is
-//! to be sent and told of it. SWIM finds who is in question; observers, drawn for each member by rendezvous
+//! The fleet as one director sees it: records of all others, changed by what comes in and by time, and what
+//! is to be sent and told of it. SWIM finds who is in question; observers, drawn for each member by rendezvous
 //! hashing, check it themselves and say what they heard; several of them make it lost.
 use crate::life::{Life, Phase};
 use crate::message::{self, Body, DATAGRAM_MOST, ENVELOPE_MOST, Envelope, FRAME_MOST, LEVEL, UNHEARD};
@@ -31,6 +31,8 @@
 /// Pings of a check, and between them; the last is waited for as long again.
 const TRIES: u32 = 4;
 const TRY_US: Micros = 300_000; // together 1.2 s: a process that stands still for less than a second answers
+/// For how long another observer's asking holds: a check and a little more.
+const ASKED_US: Micros = 1_600_000;
 /// After a check, while the member is still in question.
 const RECHECK_US: Micros = 800_000;
 /// Down by SWIM (a prober and its helpers) for so long with nobody who heard it, it is lost as well: words
@@ -268,6 +270,11 @@
             }
             Body::Ping(number) => self.answer(now, from, Body::Pong(number)),
             Body::Pong(_) => {} // that it came is what counts
+            Body::Look(name, incarnation) => self.asked(now, name, incarnation),
+            Body::Word(bytes) => {
+                let word = Word::read(bytes).filter(|w| w.observer == from).ok_or(Refused::Unreadable)?;
+                self.weigh(now, word);
+            }
             Body::Hello(life) if self.fits(&life, from) => {
                 let me = self.me().clone();
                 self.send(now, &life.name, life.at, Body::Here(me));
@@ -479,11 +486,11 @@
             }
         }
         for name in self.looked_at.iter().cloned().collect::<Vec<_>>() {
-            if self.records.get(&name).is_some_and(Record::in_question) {
+            if self.records.get(&name).is_some_and(|r| r.in_question(now)) {
                 self.observe(now, &name);
             }
             self.judge(now, &name);
-            if self.records.get(&name).is_none_or(Record::settled) {
+            if self.records.get(&name).is_none_or(|r| r.settled(now)) {
                 self.looked_at.remove(&name);
             }
         }
@@ -509,9 +516,9 @@
 
     /// Checks a member in question, where this director is one of its observers.
     fn observe(&mut self, now: Micros, name: &str) {
-        let drawn = self.records.get(name).is_none_or(|r| r.observing.1 > now);
-        if !drawn {
-            let observing = self.is_observer(name);
+        if self.records.get(name).is_some_and(|r| r.observing.1 <= now) {
+            let observers = self.observers(name);
+            let observing = observers.iter().any(|o| **o == *self.me().name);
             if let Some(r) = self.records.get_mut(name) {
                 r.observing = (observing, now.saturating_add(OBSERVING_US));
             }
@@ -519,9 +526,13 @@
         let slow = now < self.slow_until;
         let Some(r) = self.records.get_mut(name) else { return };
         r.questioned.get_or_insert(now);
+        let asked = r.asked_until > now;
         let Some(check) = &mut r.check else {
-            if r.observing.0 && r.check_from <= now && !slow {
+            if (r.observing.0 || asked) && r.check_from <= now && !slow {
                 r.check = Some(Check { since: now, tries: 0, at: now });
+                if !asked {
+                    self.ask_others(now, name);
+                }
                 self.observe(now, name);
             }
             return;
@@ -541,13 +552,33 @@
         self.send(now, name, at, Body::Ping(number));
     }
 
-    /// Whether this director is among those whose word on a member is asked for: the first by a hash of both
-    /// names among the sound ones, so that each member has a few and each director a few to look after.
-    fn is_observer(&self, subject: &str) -> bool {
+    /// Asks the other observers to check as well, rather than wait until gossip leads them to it.
+    fn ask_others(&mut self, now: Micros, name: &str) {
+        let Some(incarnation) = self.records.get(name).map(|r| r.life.incarnation) else { return };
+        for observer in self.observers(name) {
+            if let Some(at) = self.records.get(&observer).map(|r| r.life.at) {
+                self.send(now, &observer, at, Body::Look(name, incarnation));
+            }
+        }
+    }
+
+    /// Another observer asks to check a member.
+    fn asked(&mut self, now: Micros, name: &str, incarnation: u64) {
+        let Some(r) = self.records.get_mut(name) else { return };
+        if r.life.incarnation == incarnation && r.standing == Standing::In {
+            r.asked_until = now.saturating_add(ASKED_US);
+            self.looked_at.insert(name.to_owned());
+        }
+    }
+
+    /// Whose word on a member is asked for: the first by a hash of both names among the sound ones, so that each
+    /// member has a few and each director a few to look after (rendezvous hashing, Thaler and Ravishankar 1998).
+    fn observers(&self, subject: &str) -> Vec<String> {
         let weight = |name: &str| xxh3_64(format!("{name}\0{subject}").as_bytes());
-        let own = weight(&self.me().name);
-        let sound = self.records.iter().filter(|(name, r)| r.sound() && *name != subject);
-        sound.filter(|(name, _)| weight(name) > own).take(OBSERVERS).count() < OBSERVERS
+        let sound = self.records.iter().filter(|(name, r)| r.sound() && *name != subject).map(|(n, _)| &**n);
+        let mut all: Vec<(u64, &str)> = sound.chain([&*self.me().name]).map(|n| (weight(n), n)).collect();
+        all.sort_unstable_by(|a, b| b.cmp(a));
+        all.into_iter().take(OBSERVERS).map(|(_, name)| name.to_owned()).collect()
     }
 
     /// Says what a check came to, to itself first.
@@ -558,7 +589,15 @@
         (r.check, r.check_from) = (None, now.saturating_add(RECHECK_US));
         r.words.insert(observer.clone(), (now, saying.clone()));
         let (subject, incarnation) = (name.to_owned(), r.life.incarnation);
-        self.swim.spread(&Word { observer, subject, incarnation, number, saying });
+        let word = Word { observer, subject, incarnation, number, saying };
+        self.swim.spread(&word);
+        // Gossip takes its chances with members that are gone as well: while many are, it is too slow.
+        let Some(bytes) = word.bytes() else { return };
+        for other in self.observers(name) {
+            if let Some(at) = self.records.get(&other).map(|r| r.life.at) {
+                self.send(now, &other, at, Body::Word(&bytes));
+            }
+        }
     }
 
     /// Numbers own words, also over restarts: by the clock, and never the same twice.
@@ -572,11 +611,11 @@
         let sound = 1 + self.records.iter().filter(|(n, r)| r.sound() && *n != name).count();
         let me: &str = &self.me().name;
         let counts = |observer: &str| observer == me || self.records.get(observer).is_some_and(Record::sound);
-        let mut verdict = if r.in_question() { r.verdict(now, sound, counts) } else { Verdict::Clear };
+        let mut verdict = if r.in_question(now) { r.verdict(now, sound, counts) } else { Verdict::Clear };
         // Another's verdict stands if it names enough that are sound here, and nobody heard the member.
         let heard = |(at, s): &(Micros, Saying)| *s == Saying::Heard && at.saturating_add(3 * SECOND) > now;
         let vouched = r.words.values().any(heard);
-        if !matches!(verdict, Verdict::Lost(_)) && r.in_question() && !vouched && sound > 1 {
+        if !matches!(verdict, Verdict::Lost(_)) && r.in_question(now) && !vouched && sound > 1 {
             let needed = sound.min(crate::record::OBSERVERS_NEEDED);
             let enough = |by: &&Vec<String>| by.iter().filter(|o| counts(o)).count() >= needed;
             let theirs = r.words.values().filter_map(|(_, s)| match s {
@@ -604,7 +643,7 @@
             self.deeds.push(Deed::Tell(News::Doubted(r.life.clone(), doubters)));
             self.version += 1;
         }
-        if !r.in_question() {
+        if !r.in_question(now) {
             (r.check, r.questioned) = (None, None);
             if !r.named {
                 r.words.clear();
@@ -643,22 +682,23 @@
             }
         }
         let words = std::mem::take(&mut *self.swim.inbox.borrow_mut());
-        for word in words {
-            let Some(r) = self.records.get_mut(&word.subject) else { continue };
-            if word.incarnation == r.life.incarnation && self.names_fit(&word) {
-                let Some(r) = self.records.get_mut(&word.subject) else { continue };
-                r.words.insert(word.observer, (now, word.saying));
-                self.looked_at.insert(word.subject);
-            }
-        }
+        words.into_iter().for_each(|word| self.weigh(now, word));
         let sends: Vec<(Life, Vec<u8>)> = self.swim.sends().collect();
         for (to, bytes) in sends {
             self.send(now, &to.name, to.at, Body::Swim(&bytes));
         }
     }
 
-    fn names_fit(&self, word: &Word) -> bool {
-        self.allowed(&word.observer) && word.observer != *self.me().name
+    /// Takes a word in, if it is of a life that is known.
+    fn weigh(&mut self, now: Micros, word: Word) {
+        if !self.allowed(&word.observer) || word.observer == *self.me().name {
+            return;
+        }
+        let Some(r) = self.records.get_mut(&word.subject) else { return };
+        if word.incarnation == r.life.incarnation {
+            r.words.insert(word.observer, (now, word.saying));
+            self.looked_at.insert(word.subject);
+        }
     }
 
     fn known_changed(&mut self, now: Micros) {
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -41,6 +41,10 @@
     Ping(u32),
     /// The answer.
     Pong(u32),
+    /// Look after this life of this member, as I do.
+    Look(&'a str, u64),
+    /// An observer's word, straight to another observer; it spreads by gossip as well.
+    Word(&'a [u8]),
     /// Who are you? From one that knows an address alone.
     Hello(Life),
     /// The answer.
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -57,6 +57,8 @@
     pub questioned: Option<Micros>,
     /// What observers said last of this life, when it came.
     pub words: BTreeMap<String, (Micros, Saying)>,
+    /// Another observer asked us to look after it; until when that holds.
+    pub asked_until: Micros,
     /// Our own check of it.
     pub check: Option<Check>,
     /// When we may check it again.
@@ -104,6 +106,7 @@
             suspect: false,
             questioned: None,
             words: BTreeMap::new(),
+            asked_until: 0,
             check: None,
             check_from: 0,
             observing: (false, 0),
@@ -133,14 +136,14 @@
         self.standing == Standing::In && self.up && !self.suspect
     }
 
-    /// Whether it has to be looked after: SWIM doubts it.
-    pub fn in_question(&self) -> bool {
-        self.standing == Standing::In && (self.suspect || !self.up)
+    /// Whether it has to be looked after: SWIM doubts it, or another observer asked.
+    pub fn in_question(&self, now: Micros) -> bool {
+        self.standing == Standing::In && (self.suspect || !self.up || self.asked_until > now)
     }
 
     /// Whether nothing is left to be looked at in it.
-    pub fn settled(&self) -> bool {
-        self.standing != Standing::In || (!self.in_question() && !self.named && self.words.is_empty())
+    pub fn settled(&self, now: Micros) -> bool {
+        self.standing != Standing::In || (!self.in_question(now) && !self.named && self.words.is_empty())
     }
 
     /// Moves it.
--- a/crates/fleet/src/word.rs
+++ b/crates/fleet/src/word.rs
@@ -44,6 +44,14 @@
     }
 }
 
+impl Word {
+    /// One that came straight from its observer.
+    pub fn read(bytes: &[u8]) -> Option<Word> {
+        let word: Word = postcard::from_bytes(bytes).ok()?;
+        (!matches!(&word.saying, Saying::Lost(by) if by.len() > BY_MOST)).then_some(word)
+    }
+}
+
 /// Which word replaces which: the same observer's later one of the same subject.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Key {
@@ -88,10 +96,7 @@
     type Error = Unreadable;
 
     fn receive_item(&mut self, data: &[u8], from: Option<&T>) -> Result<Option<Key>, Unreadable> {
-        let word: Word = postcard::from_bytes(data).map_err(|_| Unreadable)?;
-        if matches!(&word.saying, Saying::Lost(by) if by.len() > BY_MOST) {
-            return Err(Unreadable);
-        }
+        let word = Word::read(data).ok_or(Unreadable)?;
         let (about, order) = ((word.observer.clone(), word.subject.clone()), (word.incarnation, word.number));
         if self.known.get(&about).is_some_and(|known| *known >= order) {
             return Ok(None);
--- /dev/null
+++ b/crates/lab/src/history.rs
@@ -0,0 +1,133 @@
+//! What happened in a run: what processes wrote, what stand-ins and viewers counted, what the lab did. Times are
+//! Unix microseconds of one machine. Written whole, so that a kept run can be checked again.
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// How a request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
+pub enum Final {
+    /// It plays.
+    Served,
+    /// Turned away; a repeat is harmless.
+    Refused,
+    /// Failed.
+    Failed,
+}
+
+/// One request of a viewer.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+pub struct Asked {
+    /// Its number, in hex as on the wire.
+    pub id: String,
+    /// Whether it is paid (`replay`).
+    pub paid: bool,
+    /// The director it went to.
+    pub director: usize,
+    /// When it was sent.
+    pub at: u64,
+    /// The answers that came, in order; one is right.
+    pub finals: Vec<(u64, Final)>,
+    /// The connection ended before an answer.
+    pub broke_at: Option<u64>,
+}
+
+/// One set-up that a streamer took.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+pub struct SetUp {
+    /// The streamer.
+    pub streamer: usize,
+    /// The session.
+    pub id: String,
+    /// Its class.
+    pub class: String,
+    /// The rung it starts at.
+    pub rung: Option<usize>,
+    /// When it came whole.
+    pub at: u64,
+}
+
+/// A line of a process's log.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+pub struct LogLine {
+    /// The director.
+    pub director: usize,
+    /// When: the line's own `at_us`, or when the lab read it.
+    pub at: u64,
+    /// The message.
+    pub msg: String,
+    /// Its other keys.
+    pub keys: BTreeMap<String, serde_json::Value>,
+}
+
+impl LogLine {
+    /// A key as text.
+    pub fn text(&self, key: &str) -> &str {
+        self.keys.get(key).and_then(|v| v.as_str()).unwrap_or_default()
+    }
+}
+
+/// A span in which something held for one that is named.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+pub struct Interval {
+    /// What: "dead", "stopped", "leaving", or a fault's kind.
+    pub what: String,
+    /// Whom.
+    pub who: Vec<String>,
+    /// Whom else, for links.
+    pub to: Vec<String>,
+    /// From `who` to `to` alone.
+    pub one_way: bool,
+    /// When it began.
+    pub from: u64,
+    /// When it was over; the end of the run where it never was.
+    pub until: u64,
+}
+
+/// All of a run.
+#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
+pub struct History {
+    /// The scenario's title, and the seed.
+    pub title: String,
+    /// See `title`.
+    pub seed: u64,
+    /// Directors.
+    pub directors: usize,
+    /// Whether they knew of each other.
+    pub fleet: bool,
+    /// When the viewers began, and when they stopped.
+    pub began: u64,
+    /// See `began`.
+    pub ended: u64,
+    /// When the lab stopped looking.
+    pub closed: u64,
+    /// Seconds within which members have to be found, and views be equal.
+    pub found_within_s: f64,
+    /// See `found_within_s`.
+    pub equal_within_s: f64,
+    /// The longest that a viewer waits, microseconds.
+    pub deadline_us: u64,
+    /// What viewers asked.
+    pub asked: Vec<Asked>,
+    /// What streamers took.
+    pub set_ups: Vec<SetUp>,
+    /// What directors logged.
+    pub log: Vec<LogLine>,
+    /// What the lab did, to processes and links.
+    pub faults: Vec<Interval>,
+    /// By how much the lab itself was late at most, microseconds.
+    pub late_us: u64,
+    /// Processes that ended without the lab's doing, with what they said last.
+    pub crashed: Vec<(usize, String)>,
+}
+
+impl History {
+    /// Whether something held for a director within a span.
+    pub fn held(&self, what: &[&str], who: &str, from: u64, until: u64) -> bool {
+        self.faults.iter().any(|f| {
+            what.contains(&f.what.as_str())
+                && f.who.iter().any(|w| w == who)
+                && f.from <= until
+                && f.until >= from
+        })
+    }
+}
--- /dev/null
+++ b/crates/lab/src/run.rs
@@ -0,0 +1,464 @@
+//! One run: what is to happen when, done in time, and everything that came of it gathered and checked.
+use crate::checks::{Checked, check};
+use crate::history::{History, Interval, SetUp};
+use crate::relay::Damage;
+use crate::report::{ReportError, html};
+use crate::scenario::{Fault, Kind, Scenario};
+use crate::viewers::{DEADLINE, unix_us};
+use crate::world::World;
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::{Rng, SeedableRng};
+use rustix::process::Signal;
+use std::collections::BTreeMap;
+use std::fs;
+use std::io::{self, Write};
+use std::net::{SocketAddr, TcpStream, UdpSocket};
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant, SystemTime};
+
+/// Directors have so long to find each other before the viewers begin.
+const MEET: Duration = Duration::from_secs(10);
+/// After the viewers have stopped, before the end.
+const AFTER: Duration = Duration::from_secs(1);
+/// The lab later than this can't tell who was late: it says so rather than judge.
+const LATE_MOST: Duration = Duration::from_millis(400);
+const STEP: Duration = Duration::from_millis(5);
+
+/// A run that could not be made.
+#[derive(Debug, thiserror::Error)]
+pub enum LabError {
+    /// A file or folder.
+    #[error("{0}: {1}")]
+    File(PathBuf, io::Error),
+    /// A process, socket or thread.
+    #[error("the run could not be set up: {0}")]
+    Start(io::Error),
+    /// What a kept run holds can't be read.
+    #[error("{0}: no history of a run: {1}")]
+    History(PathBuf, serde_json::Error),
+    /// The report.
+    #[error(transparent)]
+    Report(#[from] ReportError),
+}
+
+/// What came of a run.
+#[derive(Debug)]
+pub struct Verdict {
+    /// What was checked.
+    pub checked: Checked,
+    /// By how much the lab was late at most.
+    pub late: Duration,
+}
+
+impl Verdict {
+    /// The exit code: 0 all held, 1 a check failed, 3 the machine ran late.
+    pub fn code(&self) -> u8 {
+        match () {
+            () if self.late > LATE_MOST => 3,
+            () if !self.checked.valid => 1,
+            () => 0,
+        }
+    }
+}
+
+enum Act {
+    Begin(usize),
+    End(usize),
+    Start(usize),
+}
+
+struct Lab {
+    world: World,
+    faults: Vec<Fault>,
+    queue: BTreeMap<(Instant, u64), Act>,
+    number: u64,
+    /// What is under way: the fault and its interval in the history.
+    history: History,
+    open: BTreeMap<usize, usize>,
+    dead: BTreeMap<usize, usize>,
+    /// Directors that are to start once they have ended, and how long after.
+    back: BTreeMap<usize, (f64, bool)>,
+    noise: Vec<(usize, Arc<AtomicBool>, JoinHandle<()>)>,
+    late: Duration,
+}
+
+/// Plays a scenario with the program and writes `history.json`, `result.json` and `report.html` into a folder.
+/// `watch` is told the share that is done.
+pub fn run(
+    program: &Path,
+    scenario: &Scenario,
+    seed: u64,
+    out: &Path,
+    mut watch: impl FnMut(f64),
+) -> Result<Verdict, LabError> {
+    let folder = out.join("directors");
+    let _ = fs::remove_dir_all(&folder); // of an earlier run
+    fs::create_dir_all(&folder).map_err(|why| LabError::File(folder.clone(), why))?;
+    let folder = folder.canonicalize().map_err(|why| LabError::File(folder.clone(), why))?;
+    let world = World::new(program, scenario, seed, &folder).map_err(LabError::Start)?;
+    let mut faults = scenario.faults.clone();
+    faults.extend(drawn(scenario, seed));
+    let history = History {
+        title: scenario.title.clone(),
+        seed,
+        directors: scenario.directors,
+        fleet: scenario.fleet,
+        found_within_s: scenario.found_within_s,
+        equal_within_s: scenario.equal_within_s,
+        deadline_us: DEADLINE.as_micros() as u64,
+        ..History::default()
+    };
+    let mut lab = Lab {
+        world,
+        faults,
+        queue: BTreeMap::new(),
+        number: 0,
+        history,
+        open: BTreeMap::new(),
+        dead: BTreeMap::new(),
+        back: BTreeMap::new(),
+        noise: Vec::new(),
+        late: Duration::ZERO,
+    };
+    lab.play(&mut watch).map_err(LabError::Start)?;
+    let (history, late) = (lab.history, lab.late);
+    drop(lab.world);
+    let path = out.join("history.json");
+    let text = serde_json::to_string(&history).map_err(|why| LabError::History(path.clone(), why))?;
+    fs::write(&path, text).map_err(|why| LabError::File(path, why))?;
+    judge(&history, late, out)
+}
+
+/// Checks a kept run again.
+pub fn recheck(out: &Path) -> Result<Verdict, LabError> {
+    let path = out.join("history.json");
+    let text = fs::read(&path).map_err(|why| LabError::File(path.clone(), why))?;
+    let history: History = serde_json::from_slice(&text).map_err(|why| LabError::History(path, why))?;
+    let late = Duration::from_micros(history.late_us);
+    judge(&history, late, out)
+}
+
+fn judge(history: &History, late: Duration, out: &Path) -> Result<Verdict, LabError> {
+    let checked = check(history);
+    let json = serde_json::to_string_pretty(&checked).unwrap_or_default() + "\n";
+    for (name, text) in [("result.json", json), ("report.html", html(history, &checked)?)] {
+        let path = out.join(name);
+        fs::write(&path, text).map_err(|why| LabError::File(path, why))?;
+    }
+    Ok(Verdict { checked, late })
+}
+
+/// Faults drawn from a seed: links and processes, at times that leave room to heal.
+fn drawn(scenario: &Scenario, seed: u64) -> Vec<Fault> {
+    let mut dice = ChaCha8Rng::seed_from_u64(seed ^ 0x5eed);
+    let mut below = |n: usize| (dice.next_u64() % n.max(1) as u64) as usize;
+    let mut faults = Vec::new();
+    for _ in 0..scenario.drawn {
+        let at = scenario.seconds * (10 + below(50)) as f64 / 100.0;
+        let lasts = (scenario.seconds * (2 + below(18)) as f64 / 100.0).max(0.2);
+        let one = format!("d{}", below(scenario.directors));
+        let other = format!("d{}", below(scenario.directors));
+        let kinds = [Kind::Cut, Kind::Bad, Kind::Kill, Kind::Stop, Kind::Reset];
+        let kind = kinds[below(kinds.len())];
+        faults.push(Fault {
+            kind,
+            at,
+            lasts,
+            who: vec![one.clone()],
+            from: vec![one],
+            to: vec![other],
+            one_way: below(2) == 0,
+            loss: 0.3,
+            delay_ms: 100.0,
+            jitter_ms: 50.0,
+            twice: 0.1,
+            bytes_per_s: 0.0,
+            back_after: below(20) as f64 / 10.0,
+            without_folder: below(2) == 0,
+            damaged: false,
+        });
+    }
+    faults
+}
+
+impl Lab {
+    fn put(&mut self, at: Instant, act: Act) {
+        self.number += 1;
+        self.queue.insert((at, self.number), act);
+    }
+
+    fn play(&mut self, watch: &mut impl FnMut(f64)) -> io::Result<()> {
+        let directors = self.world.scenario.directors;
+        for i in 0..directors {
+            self.world.start(i)?;
+        }
+        self.meet()?;
+        let began = Instant::now();
+        self.history.began = unix_us();
+        let after = |s: f64| began + Duration::from_secs_f64(s);
+        for f in 0..self.faults.len() {
+            self.put(after(self.faults[f].at), Act::Begin(f));
+        }
+        let per_s = self.world.scenario.viewers_per_s;
+        let crowds: Vec<_> =
+            (0..directors).filter(|_| per_s > 0.0).map(|i| self.world.crowds.begin(i, per_s)).collect();
+        let seconds = self.world.scenario.seconds;
+        let end = after(seconds);
+        let mut stepped = Instant::now();
+        while Instant::now() < end {
+            thread::sleep(STEP);
+            let now = Instant::now();
+            self.late = self.late.max(now.saturating_duration_since(stepped).saturating_sub(2 * STEP));
+            self.step(now)?;
+            stepped = Instant::now();
+            watch(began.elapsed().as_secs_f64() / seconds);
+        }
+        self.history.ended = unix_us();
+        self.world.crowds.stop();
+        for crowd in crowds {
+            let asked = crowd.join().map_err(|_| io::Error::other("a crowd of viewers broke down"))?;
+            self.history.asked.extend(asked);
+        }
+        thread::sleep(AFTER);
+        self.world.reap();
+        self.close();
+        Ok(())
+    }
+
+    /// Waits until each director sees all others, so that each run begins alike.
+    fn meet(&mut self) -> io::Result<()> {
+        if !self.world.scenario.fleet {
+            return Ok(());
+        }
+        let (directors, until) = (self.world.scenario.directors, Instant::now() + MEET);
+        loop {
+            let met = {
+                let log = self.world.log.lock().unwrap_or_else(|p| p.into_inner());
+                let full = |i: usize| {
+                    let mut views = log.iter().rev().filter(|l| l.director == i && l.msg == "fleet view");
+                    views.next().is_some_and(|l| l.text("in").split(' ').count() == directors)
+                };
+                (0..directors).all(full)
+            };
+            if met {
+                return Ok(());
+            }
+            if Instant::now() > until {
+                return Err(io::Error::other("the directors did not find each other at the start"));
+            }
+            thread::sleep(STEP);
+        }
+    }
+
+    fn step(&mut self, now: Instant) -> io::Result<()> {
+        for i in self.world.reap() {
+            let from = unix_us();
+            let open = self.dead.remove(&i);
+            let said = open.map(|at| self.history.faults[at].what.clone());
+            if said.as_deref() != Some("dead") {
+                open.iter().for_each(|at| self.history.faults[*at].until = from);
+                let at = self.begin_interval("dead", vec![format!("d{i}")], vec![], false);
+                self.dead.insert(i, at);
+            } else if let Some(at) = open {
+                self.dead.insert(i, at);
+            }
+            if let Some((wait, without)) = self.back.remove(&i) {
+                if without {
+                    self.world.empty_folder(i);
+                }
+                self.put(now + Duration::from_secs_f64(wait), Act::Start(i));
+            }
+        }
+        while let Some(entry) = self.queue.first_entry().filter(|e| e.key().0 <= now) {
+            match entry.remove() {
+                Act::Begin(f) => self.begin(f, now)?,
+                Act::End(f) => self.end(f)?,
+                Act::Start(i) => {
+                    if !self.world.runs(i) {
+                        self.world.start(i)?;
+                        if let Some(at) = self.dead.remove(&i) {
+                            self.history.faults[at].until = unix_us();
+                        }
+                    }
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn begin_interval(&mut self, what: &str, who: Vec<String>, to: Vec<String>, one_way: bool) -> usize {
+        let what = what.to_owned();
+        self.history.faults.push(Interval { what, who, to, one_way, from: unix_us(), until: u64::MAX });
+        self.history.faults.len() - 1
+    }
+
+    fn directors_of(&self, who: &[String]) -> Vec<usize> {
+        let names = self.world.scenario.named(who);
+        names.iter().filter_map(|n| n.strip_prefix('d')?.parse().ok()).collect()
+    }
+
+    fn begin(&mut self, f: usize, now: Instant) -> io::Result<()> {
+        let fault = self.faults[f].clone();
+        let (from, to) = (self.world.scenario.named(&fault.from), self.world.scenario.named(&fault.to));
+        let who = self.world.scenario.named(&fault.who);
+        let what = format!("{:?}", fault.kind).to_lowercase();
+        let links = matches!(fault.kind, Kind::Cut | Kind::Reset | Kind::Bad);
+        let interval = if links {
+            self.begin_interval(&what, from.clone(), to.clone(), fault.one_way)
+        } else {
+            self.begin_interval(&what, who.clone(), vec![], false)
+        };
+        self.open.insert(f, interval);
+        let directors = self.directors_of(&fault.who);
+        match fault.kind {
+            Kind::Cut | Kind::Reset | Kind::Bad => {
+                let bad = fault.kind == Kind::Bad;
+                let damage = Damage {
+                    cut: fault.kind == Kind::Cut,
+                    reset: fault.kind == Kind::Reset,
+                    loss: if bad { fault.loss } else { 0.0 },
+                    delay: Duration::from_secs_f64(if bad { fault.delay_ms / 1e3 } else { 0.0 }),
+                    jitter: Duration::from_secs_f64(if bad { fault.jitter_ms / 1e3 } else { 0.0 }),
+                    twice: if bad { fault.twice } else { 0.0 },
+                    bytes_per_s: if bad { fault.bytes_per_s } else { 0.0 },
+                };
+                self.world.relays.damage(f as u64, &from, &to, &damage);
+                if !fault.one_way {
+                    self.world.relays.damage(f as u64, &to, &from, &damage);
+                }
+            }
+            Kind::Kill | Kind::Term => {
+                for i in directors.into_iter().filter(|i| self.world.runs(*i)).collect::<Vec<_>>() {
+                    let (signal, what) = if fault.kind == Kind::Kill {
+                        (Signal::KILL, "dead")
+                    } else {
+                        (Signal::TERM, "leaving")
+                    };
+                    let at = self.begin_interval(what, vec![format!("d{i}")], vec![], false);
+                    self.dead.insert(i, at);
+                    self.world.signal(i, signal);
+                    if fault.back_after >= 0.0 {
+                        self.back.insert(i, (fault.back_after, fault.without_folder));
+                    }
+                }
+            }
+            Kind::Stop => directors.into_iter().for_each(|i| self.world.signal(i, Signal::STOP)),
+            Kind::Reload => {
+                for i in directors {
+                    self.world.operator_file(i, fault.damaged)?;
+                    self.world.signal(i, Signal::HUP);
+                }
+            }
+            Kind::Twin => directors.into_iter().try_for_each(|i| self.world.twin(i))?,
+            Kind::Noise => {
+                for at in directors.into_iter().filter_map(|i| self.world.port(i)).collect::<Vec<_>>() {
+                    let stop = Arc::new(AtomicBool::new(false));
+                    let (told, seed) = (Arc::clone(&stop), self.history.seed);
+                    self.noise.push((f, stop, thread::spawn(move || noise(at, seed, &told))));
+                }
+            }
+            Kind::Silent => directors.into_iter().for_each(|i| self.world.bulletins[i].silence(true)),
+            Kind::Drain => {
+                let streamers: Vec<usize> =
+                    who.iter().filter_map(|n| n.strip_prefix('s')?.parse().ok()).collect();
+                self.world.tell(&streamers, "terminating");
+            }
+        }
+        let lasting = !matches!(fault.kind, Kind::Kill | Kind::Term | Kind::Reload | Kind::Drain);
+        if lasting {
+            self.put(now + Duration::from_secs_f64(fault.lasts), Act::End(f));
+        } else if matches!(fault.kind, Kind::Kill | Kind::Term | Kind::Reload) {
+            self.over(f);
+        }
+        Ok(())
+    }
+
+    fn over(&mut self, f: usize) {
+        if let Some(at) = self.open.remove(&f) {
+            self.history.faults[at].until = unix_us();
+        }
+    }
+
+    fn end(&mut self, f: usize) -> io::Result<()> {
+        let fault = self.faults[f].clone();
+        let directors = self.directors_of(&fault.who);
+        match fault.kind {
+            Kind::Cut | Kind::Reset | Kind::Bad => self.world.relays.mend(f as u64),
+            Kind::Stop => directors.into_iter().for_each(|i| self.world.signal(i, Signal::CONT)),
+            Kind::Twin => directors.into_iter().for_each(|i| self.world.untwin(i)),
+            Kind::Silent => directors.into_iter().for_each(|i| self.world.bulletins[i].silence(false)),
+            Kind::Noise => {
+                let (over, on): (Vec<_>, Vec<_>) =
+                    std::mem::take(&mut self.noise).into_iter().partition(|n| n.0 == f);
+                self.noise = on;
+                for (_, stop, thread) in over {
+                    stop.store(true, Ordering::SeqCst);
+                    let _ = thread.join();
+                }
+            }
+            _ => {}
+        }
+        self.over(f);
+        Ok(())
+    }
+
+    /// Gathers what everyone has.
+    fn close(&mut self) {
+        let now = unix_us();
+        self.history.closed = now;
+        for interval in &mut self.history.faults {
+            interval.until = interval.until.min(now);
+        }
+        // Streamers count by a clock that never goes back; a moment of both clocks ties them.
+        let (instant, wall) = (Instant::now(), SystemTime::now());
+        let unix = |at: Instant| {
+            let ago = instant.saturating_duration_since(at);
+            let wall = wall.duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+            wall.saturating_sub(ago).as_micros() as u64
+        };
+        for (k, streamer) in self.world.streamers.iter().enumerate() {
+            for s in streamer.set_ups() {
+                let at = unix(s.at);
+                let (id, class, rung) = (s.session, s.class, s.rung);
+                self.history.set_ups.push(SetUp { streamer: k, id, class, rung, at });
+            }
+        }
+        self.history.set_ups.sort_by_key(|s| s.at);
+        self.history.log = self.world.log.lock().unwrap_or_else(|p| p.into_inner()).clone();
+        self.history.log.sort_by_key(|l| l.at);
+        self.history.crashed = std::mem::take(&mut self.world.crashed);
+        let (relays, ..) = self.world.relays.counts();
+        let crowds = Duration::from_micros(self.world.crowds.late_us.load(Ordering::Relaxed));
+        let _ = crowds; // a crowd is late while its director is gone; that is no fault of the machine's
+        self.late = self.late.max(relays);
+        self.history.late_us = self.late.as_micros() as u64;
+        for (_, stop, thread) in std::mem::take(&mut self.noise) {
+            stop.store(true, Ordering::SeqCst);
+            let _ = thread.join();
+        }
+    }
+}
+
+/// Noise at a peer port until told to stop: random, oversized, and well-formed bytes of another cluster.
+fn noise(at: SocketAddr, seed: u64, stop: &AtomicBool) {
+    let mut dice = ChaCha8Rng::seed_from_u64(seed);
+    let Ok(socket) = UdpSocket::bind(SocketAddr::from(([127, 0, 0, 1], 0))) else { return };
+    let mut bytes = vec![0; 9_000];
+    while !stop.load(Ordering::SeqCst) {
+        for _ in 0..64 {
+            dice.fill_bytes(&mut bytes);
+            let length = (dice.next_u64() % 9_000) as usize;
+            let _ = socket.send_to(&bytes[..length], at); // full buffers lose some
+            // The level and, as it may be, another cluster's digest.
+            let foreign = [1, 0xaa, 0xbb, 0xcc, 0xdd, 0x0e, 2, b'd', b'1', 1, 255, 1, 7];
+            let _ = socket.send_to(&foreign, at);
+        }
+        if let Ok(mut stream) = TcpStream::connect_timeout(&at, Duration::from_millis(100)) {
+            let _ = stream.set_write_timeout(Some(Duration::from_millis(50)));
+            let _ = stream.write_all(&bytes[..4_096]); // it may be closed under us
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/world.rs
@@ -0,0 +1,366 @@
+//! What a run starts: the stand-ins, the relays before them, and director processes with a folder each. It
+//! signals only what it started, by id, and keeps what each process wrote.
+use crate::history::LogLine;
+use crate::relay::Relays;
+use crate::scenario::Scenario;
+use crate::viewers::{Crowds, unix_us};
+use rustix::process::{Pid, Signal, kill_process};
+use std::collections::BTreeMap;
+use std::fs;
+use std::io::{self, BufRead, BufReader};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+use stonewharf_standins::{Bulletin, Streamer};
+
+/// A process has so long to say that it serves.
+const STARTS: Duration = Duration::from_secs(20);
+/// Lines kept of one run, all processes together.
+const LINES_MOST: usize = 200_000;
+
+/// The module's settings of each director; what differs is put in.
+const SETTINGS: &str = r#"{"accounts": [], "me": 0, "peers_total": 1, "membership_mode": "pushed",
+"my_zone": "hall-a", "dcs": ["hall-a", "hall-b"], "kinds": ["two-core"], "over_share_worth": 0.1, "deductions": {},
+"report": {"how": "pull", "names": ["load_share"]},
+"bounds": {"dial_timeout_us": 250000, "keepalive_us": 15000000, "max_attempts": 4, "max_retry_after_us": 1000000,
+  "multiplex": 32, "probes": false, "retry_after": true},
+"family_info": {"cells": 1, "racks": 1, "class_scale": [1.0, 1.0], "fleet_kb": 10000.0, "rack_kb": 10000.0,
+  "weight_kb": 40000.0, "full_from": 1.2, "highest_rung": [1, 1], "lowest_rung": [1, 0], "kind_streams": [400],
+  "ladder_kb": [100.0, 200.0], "ladder_worth": [0.5, 1.0], "switch_s": 0.5},
+"lanes": [{"name": "replay", "importance": 2.0, "target_us": 750000, "deadline_us": 1500000, "effect": "at_most_once"},
+  {"name": "seat-view", "importance": 1.0, "target_us": 750000, "deadline_us": 1500000, "effect": "idempotent"}],
+"rules": {"cold_from": 0.4, "ramp_time_us": 1000, "fall_multiple": 3.0}}"#;
+
+/// A director process that runs.
+struct Process {
+    child: Child,
+    /// It was told to end, or killed, by the lab.
+    told: bool,
+}
+
+/// All that a run started.
+pub struct World {
+    program: PathBuf,
+    folder: PathBuf,
+    seed: u64,
+    /// The scenario.
+    pub scenario: Scenario,
+    /// The relays.
+    pub relays: Relays,
+    /// The streamers.
+    pub streamers: Vec<Streamer>,
+    /// The bulletin of each director.
+    pub bulletins: Vec<Bulletin>,
+    /// Where viewers find each director.
+    pub crowds: Crowds,
+    processes: BTreeMap<usize, Process>,
+    twins: BTreeMap<usize, Child>,
+    /// All lines so far.
+    pub log: Arc<Mutex<Vec<LogLine>>>,
+    /// The relay before each director's peer port.
+    peers: Vec<SocketAddr>,
+    /// Where each director listens for peers, in its present life.
+    ports: Vec<Option<SocketAddr>>,
+    /// The relays to streamers and to the bulletin, by director.
+    to_streamers: Vec<Vec<SocketAddr>>,
+    to_bulletin: Vec<SocketAddr>,
+    told: u64,
+    /// Processes that ended by themselves.
+    pub crashed: Vec<(usize, String)>,
+}
+
+/// The address that is one director's alone.
+fn own_ip(i: usize) -> IpAddr {
+    IpAddr::V4(Ipv4Addr::new(127, 0, 1, 1 + i as u8))
+}
+
+impl World {
+    /// Starts the stand-ins and relays, and no director yet.
+    pub fn new(program: &Path, scenario: &Scenario, seed: u64, folder: &Path) -> io::Result<World> {
+        let relays = Relays::start(seed)?;
+        let life = Duration::from_secs_f64(scenario.session_s);
+        let streamers: Vec<Streamer> = (0..scenario.streamers).map(|_| Streamer::start(life)).collect();
+        let bulletins: Vec<Bulletin> = (0..scenario.directors).map(|_| Bulletin::start(1)).collect();
+        let (mut peers, mut to_streamers, mut to_bulletin) = (Vec::new(), Vec::new(), Vec::new());
+        for (k, streamer) in streamers.iter().enumerate() {
+            relays.target(&format!("s{k}"), streamer.address);
+        }
+        for (i, bulletin) in bulletins.iter().enumerate() {
+            let me = format!("d{i}");
+            relays.source(&me, own_ip(i));
+            relays.target(&format!("b{i}"), bulletin.address);
+            to_bulletin.push(relays.tcp(Some(&me), &format!("b{i}"))?);
+            let mut to = Vec::new();
+            for k in 0..streamers.len() {
+                to.push(relays.tcp(Some(&me), &format!("s{k}"))?);
+            }
+            to_streamers.push(to);
+            peers.push(relays.both(&me)?);
+        }
+        let directors = scenario.directors;
+        Ok(World {
+            program: program.to_owned(),
+            folder: folder.to_owned(),
+            seed,
+            scenario: scenario.clone(),
+            relays,
+            streamers,
+            bulletins,
+            crowds: Crowds::new(directors, seed),
+            processes: BTreeMap::new(),
+            twins: BTreeMap::new(),
+            log: Arc::default(),
+            peers,
+            ports: vec![None; directors],
+            to_streamers,
+            to_bulletin,
+            told: 1,
+            crashed: Vec::new(),
+        })
+    }
+
+    fn member(&self, i: usize, k: usize, phase: &str) -> String {
+        let at = self.to_streamers[i][k];
+        format!(
+            r#"{{"id":"s-{k}","host_port":"{at}","locality":"hall-a","flavor":"two-core","cell":0,"phase":"{phase}","size":1,"up_since_ms":0}}"#
+        )
+    }
+
+    /// Tells all directors of streamers in another phase.
+    pub fn tell(&mut self, streamers: &[usize], phase: &str) {
+        self.told += 1;
+        for (i, bulletin) in self.bulletins.iter().enumerate() {
+            let members: Vec<String> = streamers.iter().map(|k| self.member(i, *k, phase)).collect();
+            bulletin.tell(self.told, &members);
+        }
+    }
+
+    fn own_folder(&self, i: usize) -> PathBuf {
+        self.folder.join(format!("d{i}"))
+    }
+
+    /// Writes a director's operator file; a damaged one can't be read.
+    pub fn operator_file(&self, i: usize, damaged: bool) -> io::Result<PathBuf> {
+        let folder = self.own_folder(i);
+        fs::create_dir_all(&folder)?;
+        let seeds = if self.scenario.seeds == 0 { 3 } else { self.scenario.seeds };
+        let seeds: Vec<String> =
+            self.peers.iter().take(seeds).map(|at| format!("{:?}", at.to_string())).collect();
+        let mut text = String::from("halls {\n  enabled = false\n}\n");
+        if self.scenario.fleet {
+            text.push_str(&format!(
+                "fleet {{\n  cluster = \"lab-{}\"\n  listen = \"{}:0\"\n  advertise = \"{}\"\n  seeds = [{}]\n  folder = {:?}\n}}\n",
+                self.seed,
+                own_ip(i),
+                self.peers[i],
+                seeds.join(", "),
+                folder.display().to_string()
+            ));
+        }
+        if damaged {
+            text.push_str("halls {\n  spil_share =\n");
+        }
+        let file = folder.join("operator.hcl");
+        fs::write(&file, text)?;
+        Ok(file)
+    }
+
+    fn config_file(&self, i: usize) -> io::Result<PathBuf> {
+        let mut settings: serde_json::Value = serde_json::from_str(SETTINGS).map_err(io::Error::other)?;
+        settings["me"] = i.into();
+        settings["peers_total"] = self.scenario.directors.into();
+        settings["my_zone"] = if i.is_multiple_of(2) { "hall-a" } else { "hall-b" }.into();
+        let streams = 40_000.0 * self.scenario.streamers as f64;
+        settings["family_info"]["fleet_kb"] = streams.into();
+        settings["family_info"]["rack_kb"] = streams.into();
+        let members: Vec<String> =
+            (0..self.streamers.len()).map(|k| self.member(i, k, "in_service")).collect();
+        let members: serde_json::Value =
+            serde_json::from_str(&format!("[{}]", members.join(","))).map_err(io::Error::other)?;
+        let config = serde_json::json!({
+            "name": format!("d{i}"), "listen": "127.0.0.1:0", "seed": format!("{:x}", self.seed * 1000 + i as u64),
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512},
+            "bulletin": self.to_bulletin[i].to_string(),
+            "known": {"no": 1, "items": [{"no": 1, "roster": {"revision": 1, "complete": true, "members": members}}]},
+            "settings": settings,
+        });
+        let file = self.own_folder(i).join("config.json");
+        fs::create_dir_all(self.own_folder(i))?;
+        fs::write(&file, config.to_string())?;
+        Ok(file)
+    }
+
+    fn spawn(&self, i: usize) -> io::Result<Child> {
+        let operator = self.operator_file(i, false)?;
+        let config = self.config_file(i)?;
+        Command::new(&self.program)
+            .args(["serve", "--log-format", "json", "--config"])
+            .arg(config)
+            .arg("--operator")
+            .arg(operator)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(Stdio::piped())
+            .spawn()
+    }
+
+    /// Starts a director and waits until it serves.
+    pub fn start(&mut self, i: usize) -> io::Result<()> {
+        let mut child = self.spawn(i)?;
+        let (told, heard) = std::sync::mpsc::channel();
+        self.read_log(i, &mut child, move |line| {
+            let _ = told.send(line.clone()); // nobody listens any more once it serves
+        });
+        self.processes.insert(i, Process { child, told: false });
+        let until = Instant::now() + STARTS;
+        let (mut serves, mut peers) = (None, None);
+        while serves.is_none() || (self.scenario.fleet && peers.is_none()) {
+            let left = until.saturating_duration_since(Instant::now());
+            let Ok(line) = heard.recv_timeout(left) else {
+                return Err(io::Error::other(format!("d{i} does not serve: {}", self.last_word(i))));
+            };
+            match line.msg.as_str() {
+                "serves" => serves = line.text("at").parse().ok(),
+                "listens for peers" => peers = line.text("peers_at").parse().ok(),
+                _ => {}
+            }
+        }
+        if let Some(at) = peers {
+            self.relays.target(&format!("d{i}"), at);
+            self.ports[i] = Some(at);
+        }
+        self.crowds.at.lock().unwrap_or_else(|p| p.into_inner())[i] = serves;
+        Ok(())
+    }
+
+    fn read_log(&self, i: usize, child: &mut Child, told: impl Fn(&LogLine) + Send + 'static) {
+        let Some(stderr) = child.stderr.take() else { return };
+        let log = Arc::clone(&self.log);
+        thread::spawn(move || {
+            for text in BufReader::new(stderr).lines().map_while(Result::ok) {
+                let keys =
+                    serde_json::from_str::<BTreeMap<String, serde_json::Value>>(&text).unwrap_or_default();
+                let msg = keys.get("msg").and_then(|m| m.as_str()).unwrap_or(&text).to_owned();
+                let at = keys.get("at_us").and_then(serde_json::Value::as_u64).unwrap_or_else(unix_us);
+                let line = LogLine { director: i, at, msg, keys };
+                told(&line);
+                let mut log = log.lock().unwrap_or_else(|p| p.into_inner());
+                if log.len() < LINES_MOST {
+                    log.push(line);
+                }
+            }
+        });
+    }
+
+    fn last_word(&self, i: usize) -> String {
+        let log = self.log.lock().unwrap_or_else(|p| p.into_inner());
+        log.iter().rev().find(|l| l.director == i).map_or(String::new(), |l| l.msg.clone())
+    }
+
+    /// Whether a director's process runs.
+    pub fn runs(&self, i: usize) -> bool {
+        self.processes.contains_key(&i)
+    }
+
+    /// Signals a director's process.
+    pub fn signal(&mut self, i: usize, signal: Signal) {
+        let Some(process) = self.processes.get_mut(&i) else { return };
+        if matches!(signal, Signal::KILL | Signal::TERM) {
+            process.told = true;
+            self.crowds.at.lock().unwrap_or_else(|p| p.into_inner())[i] = None;
+        }
+        // Not yet reaped, so the id is still that process's.
+        if let Some(pid) = i32::try_from(process.child.id()).ok().and_then(Pid::from_raw) {
+            let _ = kill_process(pid, signal);
+        }
+    }
+
+    /// Reaps processes that have ended; returns those directors.
+    pub fn reap(&mut self) -> Vec<usize> {
+        let mut ended = Vec::new();
+        for (i, process) in &mut self.processes {
+            if let Ok(Some(status)) = process.child.try_wait() {
+                ended.push((*i, process.told, status));
+            }
+        }
+        for (i, told, status) in &ended {
+            self.processes.remove(i);
+            self.crowds.at.lock().unwrap_or_else(|p| p.into_inner())[*i] = None;
+            if !told {
+                let word = self.last_word(*i);
+                self.crashed.push((*i, format!("{status}: {word}")));
+            }
+        }
+        ended.into_iter().map(|e| e.0).collect()
+    }
+
+    /// Starts a second process under a director's name, elsewhere; it answers no viewers of the run.
+    pub fn twin(&mut self, i: usize) -> io::Result<()> {
+        let (operator, config) = (self.operator_file(i, false)?, self.config_file(i)?);
+        let folder = self.folder.join(format!("d{i}-twin"));
+        fs::create_dir_all(&folder)?;
+        let at = self.relays.both(&format!("d{i}-twin"))?;
+        let text = fs::read_to_string(operator)?
+            .replace(&self.peers[i].to_string(), &at.to_string())
+            .replace(&self.own_folder(i).display().to_string(), &folder.display().to_string())
+            .replace(&format!("{}:0", own_ip(i)), &format!("{}:0", own_ip(100 + i)));
+        let file = folder.join("operator.hcl");
+        fs::write(&file, text)?;
+        let mut child = Command::new(&self.program)
+            .args(["serve", "--log-format", "json", "--config"])
+            .arg(config)
+            .arg("--operator")
+            .arg(file)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(Stdio::piped())
+            .spawn()?;
+        let (told, heard) = std::sync::mpsc::channel();
+        self.read_log(100 + i, &mut child, move |line| {
+            let _ = told.send(line.clone()); // nobody listens any more once it serves
+        });
+        self.twins.insert(i, child);
+        let until = Instant::now() + STARTS;
+        while let Ok(line) = heard.recv_timeout(until.saturating_duration_since(Instant::now())) {
+            if line.msg == "listens for peers" {
+                let peers = line.text("peers_at").parse().map_err(io::Error::other)?;
+                self.relays.source(&format!("d{i}-twin"), own_ip(100 + i));
+                self.relays.target(&format!("d{i}-twin"), peers);
+                return Ok(());
+            }
+        }
+        Err(io::Error::other(format!("the second d{i} does not listen for peers")))
+    }
+
+    /// Ends a second process.
+    pub fn untwin(&mut self, i: usize) {
+        if let Some(mut child) = self.twins.remove(&i) {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Where a director listens for peers, not through a relay.
+    pub fn port(&self, i: usize) -> Option<SocketAddr> {
+        self.ports[i]
+    }
+
+    /// Empties a director's folder.
+    pub fn empty_folder(&self, i: usize) {
+        let _ = fs::remove_dir_all(self.own_folder(i));
+    }
+}
+
+impl Drop for World {
+    fn drop(&mut self) {
+        for process in self.processes.values_mut() {
+            let _ = process.child.kill(); // ends a stopped one, too
+            let _ = process.child.wait();
+        }
+        let twins: Vec<usize> = self.twins.keys().copied().collect();
+        twins.into_iter().for_each(|i| self.untwin(i));
+    }
+}
--- a/crates/model/src/scenario.rs
+++ b/crates/model/src/scenario.rs
@@ -131,7 +131,8 @@
         for set in sets {
             let (key, given) =
                 set.split_once('=').ok_or_else(|| error(format!("--set {set}: key=value is wanted")))?;
-            put(&mut value, key, given).map_err(|why| error(format!("--set {set}: {why}")))?;
+            stonewharf_operator::put(&mut value, key, given)
+                .map_err(|why| error(format!("--set {set}: {why}")))?;
         }
         let value = serde::de::IntoDeserializer::into_deserializer(value);
         let scenario: Scenario = serde_path_to_error::deserialize(value)
@@ -172,46 +173,6 @@
     }
 }
 
-/// Puts a value under a key such as `operator.spill_share` or `incidents.0.at`.
-fn put(value: &mut hcl::Value, key: &str, given: &str) -> Result<(), String> {
-    let parsed: Result<hcl::Value, _> = hcl::from_str(&format!("x = {given}\n"));
-    let new = match parsed {
-        // A bare word is a name in HCL, which means nothing here: it is taken as text.
-        Ok(hcl::Value::Object(mut o)) => match o.swap_remove("x").ok_or("no value")? {
-            hcl::Value::String(text) if text.starts_with("${") => hcl::Value::String(given.to_owned()),
-            value => value,
-        },
-        _ => hcl::Value::String(given.to_owned()),
-    };
-    let mut at = value;
-    let mut parts = key.split('.').peekable();
-    while let Some(part) = parts.next() {
-        let last = parts.peek().is_none();
-        at = match at {
-            hcl::Value::Object(object) => {
-                let inner = if last { new.clone() } else { hcl::Value::Object(Default::default()) };
-                let slot = object.entry(part.to_owned()).or_insert(inner);
-                if last {
-                    *slot = new;
-                    return Ok(());
-                }
-                slot
-            }
-            hcl::Value::Array(list) => {
-                let index: usize = part.parse().map_err(|_| format!("{part} is no number of a list"))?;
-                let slot = list.get_mut(index).ok_or_else(|| format!("the list has no number {index}"))?;
-                if last {
-                    *slot = new;
-                    return Ok(());
-                }
-                slot
-            }
-            _ => return Err(format!("{part} stands in nothing that has keys")),
-        };
-    }
-    Err("a key is wanted".into())
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/crates/standins/src/bulletin.rs
+++ b/crates/standins/src/bulletin.rs
@@ -1,6 +1,7 @@
 //! The bulletin: tells numbered events to whoever asks for those after a number.
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
@@ -10,6 +11,7 @@
     /// Where it listens.
     pub address: SocketAddr,
     events: Arc<Mutex<Vec<(u64, String)>>>,
+    silent: Arc<AtomicBool>,
 }
 
 impl Bulletin {
@@ -19,9 +21,11 @@
         let address = listener.local_addr().expect("bound");
         let events = Arc::new(Mutex::new(Vec::new()));
         let told = Arc::clone(&events);
+        let silent = Arc::new(AtomicBool::new(false));
+        let mute = Arc::clone(&silent);
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let told = Arc::clone(&told);
+                let (told, mute) = (Arc::clone(&told), Arc::clone(&mute));
                 thread::spawn(move || {
                     let mut line = String::new();
                     let mut reader = BufReader::new(stream);
@@ -29,6 +33,10 @@
                     let mut after: u64 = line.trim().trim_start_matches("after ").parse().unwrap_or(known);
                     let mut stream = reader.into_inner();
                     loop {
+                        if mute.load(Ordering::SeqCst) {
+                            thread::sleep(Duration::from_millis(20));
+                            continue;
+                        }
                         let news: Vec<(u64, String)> = told.lock().expect("held").clone();
                         for (no, text) in news {
                             if no <= after {
@@ -47,7 +55,12 @@
                 });
             }
         });
-        Bulletin { address, events }
+        Bulletin { address, events, silent }
+    }
+
+    /// Says nothing on any connection, or goes on.
+    pub fn silence(&self, silent: bool) {
+        self.silent.store(silent, Ordering::SeqCst);
     }
 
     /// Tells an event: members as JSON objects, not the whole list.
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -1,5 +1,6 @@
 //! The command line: what it takes, and which part of the library serves it. Without arguments the director
 //! is served as `LB_CONFIG` says. Wrong arguments and files end with one clear line and a failure.
+mod lab;
 mod members;
 
 use crate::net::logging::{self, Format};
@@ -34,6 +35,9 @@
     /// Ask a running director about the fleet that it is in.
     #[command(subcommand)]
     Fleet(FleetAsked),
+    /// Run several processes of this program with faults between them, and check what they did.
+    #[command(subcommand)]
+    Lab(lab::Lab),
     /// Play scenarios in simulated time round the real core.
     #[command(subcommand)]
     Model(Model),
@@ -176,6 +180,7 @@
                 Err(why) => failed(&why),
             }
         }
+        Some(Command::Lab(asked)) => lab::main(&asked),
         Some(Command::Model(model)) => modelled(model),
         Some(Command::Completions { shell }) => {
             clap_complete::generate(shell, &mut Line::command(), "stonewharf", &mut io::stdout());
