Ask a peer by name how it presents itself when its revision is later than the one known

Ruled out: loss in the relays (none), slowness (late_ms 1). Change: the envelope carries the revision; a later one is asked for by Hello, answered by Here, at most every 100 ms for a peer.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -33,6 +33,8 @@
 const TRY_US: Micros = 300_000; // together 1.2 s: a process that stands still for less than a second answers
 /// For how long another observer's asking holds: a check and a little more.
 const ASKED_US: Micros = 1_600_000;
+/// Between questions to one peer how it presents itself now.
+const REASK_US: Micros = 100_000;
 /// After a check, while the member is still in question.
 const RECHECK_US: Micros = 800_000;
 /// Down by SWIM (a prober and its helpers) for so long with nobody who heard it, it is lost as well: words
@@ -278,8 +280,12 @@
             Body::Hello(life) if self.fits(&life, from) => {
                 let me = self.me().clone();
                 self.send(now, &life.name, life.at, Body::Here(me));
+                self.swim.meet(now, life);
+            }
+            Body::Here(life) if self.fits(&life, from) => {
+                self.swim.meet(now, life.clone());
+                self.swim.announce(now, life);
             }
-            Body::Here(life) if self.fits(&life, from) => self.swim.announce(now, life),
             Body::Replaced(life) if life.name == self.me().name && life.replaces(self.me()) => {
                 self.yield_to(life);
             }
@@ -345,6 +351,13 @@
         let Some(record) = self.records.get_mut(envelope.from) else { return Ok(envelope) };
         if envelope.incarnation == record.life.incarnation {
             record.heard(now, envelope.heard);
+            // SWIM drops what is addressed to a former revision, and with it the news of the sender's own. Two
+            // that changed at one time would drop each other's for seconds: we ask by name instead.
+            if envelope.revision > record.life.revision && record.asked_at.saturating_add(REASK_US) <= now {
+                record.asked_at = now;
+                let (to, at) = (record.life.name.to_string(), record.life.at);
+                self.send(now, &to, at, Body::Hello(me));
+            }
             return Ok(envelope);
         }
         if envelope.incarnation > record.life.incarnation {
@@ -766,7 +779,8 @@
         let heard = self.records.get(to).map_or(UNHEARD, |r| r.heard_tenths(now));
         let me = self.me();
         let (level, cluster, from) = (LEVEL, self.cluster, &*me.name);
-        message::write(&Envelope { level, cluster, from, incarnation: me.incarnation, heard, body })
+        let (incarnation, revision) = (me.incarnation, me.revision);
+        message::write(&Envelope { level, cluster, from, incarnation, revision, heard, body })
     }
 
     fn send(&mut self, now: Micros, to: &str, at: SocketAddrV4, body: Body<'_>) {
--- a/crates/fleet/src/swim.rs
+++ b/crates/fleet/src/swim.rs
@@ -121,6 +121,11 @@
         self.settle(now);
     }
 
+    /// A director presents itself.
+    pub fn meet(&mut self, now: Micros, life: Life) {
+        self.learn(now, vec![Member::new(life, 0, State::Alive)]);
+    }
+
     /// Takes what another knows.
     pub fn learn(&mut self, now: Micros, members: Vec<Member<Life>>) {
         let _ = self.foca.apply_many(members.into_iter(), true, &mut self.runtime);
--- a/crates/model/src/members.rs
+++ b/crates/model/src/members.rs
@@ -129,11 +129,20 @@
 }
 
 enum Event {
-    Datagram { to: usize, bytes: Vec<u8> },
-    Frame { from: usize, to: usize, bytes: Vec<u8> },
+    Datagram {
+        to: usize,
+        bytes: Vec<u8>,
+    },
+    Frame {
+        from: usize,
+        to: usize,
+        bytes: Vec<u8>,
+    },
     Due(usize),
     Trouble(usize),
     Over(usize),
+    /// A director of a life begins to serve, in step with all that began with it.
+    Serve(usize, u64),
     Look,
 }
 
@@ -242,12 +251,13 @@
             version: "0.1.0".into(),
             digest: 7,
         };
-        let Ok(mut fleet) = Fleet::new(&set, me, self.dice.random(), self.now) else { return };
-        fleet.phase(self.now, Phase::Serving);
+        let Ok(fleet) = Fleet::new(&set, me, self.dice.random(), self.now) else { return };
         let node = &mut self.nodes[i];
         (node.fleet, node.died_at, node.due_at) = (Some(fleet), None, Micros::MAX);
         node.life += 1;
         self.found.retain(|(who, _), _| *who != i);
+        let life = self.nodes[i].life;
+        self.put(self.now + SECOND, Event::Serve(i, life));
         self.carry_out(i);
     }
 
@@ -280,6 +290,12 @@
             }
             Event::Trouble(n) => self.trouble(n),
             Event::Over(n) => self.over(n),
+            Event::Serve(i, life) if self.nodes[i].life == life => {
+                let Some(fleet) = &mut self.nodes[i].fleet else { return };
+                fleet.phase(self.now, Phase::Serving);
+                self.carry_out(i);
+            }
+            Event::Serve(..) => {}
             Event::Look => self.look(),
         }
     }
