Tell whoever addresses a former life or revision of ours the present one; try absent ones sooner

Cause: what peers sent to the former life was dropped without a word (SWIM takes its present identity alone), and lost members were tried one in 2 s. The check itself also compared over the end of a later fault (checks.rs, next). Up to three absent ones are tried each second. A director whose name a later process took is left out of the comparison of views.

--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -33,8 +33,8 @@
 const TRY_US: Micros = 300_000; // together 1.2 s: a process that stands still for less than a second answers
 /// For how long another observer's asking holds: a check and a little more.
 const ASKED_US: Micros = 1_600_000;
-/// Between questions to one peer how it presents itself now.
-const REASK_US: Micros = 100_000;
+/// Between two times that one peer is told how we present ourselves now.
+const CORRECT_US: Micros = 50_000;
 /// After a check, while the member is still in question.
 const RECHECK_US: Micros = 800_000;
 /// Down by SWIM (a prober and its helpers) for so long with nobody who heard it, it is lost as well: words
@@ -42,7 +42,9 @@
 const DOWN_LONG_US: Micros = 8 * SECOND;
 /// Between tries to find others while none is known, and to reach seeds that are not in the fleet.
 const SEEK_US: Micros = 400_000;
-const RESEEK_US: Micros = 2 * SECOND;
+const RESEEK_US: Micros = SECOND;
+/// Of those that are absent so many are tried at a time.
+const SOUGHT: usize = 3;
 /// Between exchanges of what is known with another, chosen by chance; half of it is chance.
 const SYNC_US: Micros = SECOND;
 /// What is known must have stood for so long before it is compared: news that is under way needs no exchange.
@@ -266,6 +268,7 @@
         match body {
             _ if self.replaced => {}
             Body::Swim(message) => {
+                self.correct(now, message);
                 if !self.swim.hear(now, message) {
                     return Err(Refused::Unreadable);
                 }
@@ -329,6 +332,25 @@
         Ok(answer.map(|body| self.envelope(now, &to, body)))
     }
 
+    /// SWIM drops what is addressed to a former life or revision of ours, and with it the news of the sender's
+    /// own: two that changed at one time drop each other's for seconds, and one that is back at once is not
+    /// known until it was found to be gone. Who addresses what we were is told what we are.
+    fn correct(&mut self, now: Micros, message: &[u8]) {
+        let Some((from, to)) = crate::swim::addressed(message) else { return };
+        let me = self.me().clone();
+        if to.name != me.name || to == me || !self.allowed(&from.name) {
+            return;
+        }
+        let told = self.records.get_mut(&*from.name).is_some_and(|r| {
+            let told = r.corrected_at.saturating_add(CORRECT_US) > now;
+            r.corrected_at = if told { r.corrected_at } else { now };
+            told
+        });
+        if !told {
+            self.send(now, &from.name, from.at, Body::Here(me));
+        }
+    }
+
     /// Checks what every message is checked for, and notes that its sender was heard.
     fn admitted<'a>(&mut self, now: Micros, bytes: &'a [u8]) -> Result<Envelope<'a>, Refused> {
         let envelope = message::read(bytes).ok_or(Refused::Unreadable)?;
@@ -351,13 +373,6 @@
         let Some(record) = self.records.get_mut(envelope.from) else { return Ok(envelope) };
         if envelope.incarnation == record.life.incarnation {
             record.heard(now, envelope.heard);
-            // SWIM drops what is addressed to a former revision, and with it the news of the sender's own. Two
-            // that changed at one time would drop each other's for seconds: we ask by name instead.
-            if envelope.revision > record.life.revision && record.asked_at.saturating_add(REASK_US) <= now {
-                record.asked_at = now;
-                let (to, at) = (record.life.name.to_string(), record.life.at);
-                self.send(now, &to, at, Body::Hello(me));
-            }
             return Ok(envelope);
         }
         if envelope.incarnation > record.life.incarnation {
@@ -463,8 +478,10 @@
         if alone {
             absent.into_iter().take(8).for_each(|at| self.send(now, "", at, Body::Hello(me.clone())));
         } else if !absent.is_empty() {
-            let at = absent[self.below(absent.len())];
-            self.send(now, "", at, Body::Hello(me));
+            for _ in 0..SOUGHT.min(absent.len()) {
+                let at = absent.swap_remove(self.below(absent.len()));
+                self.send(now, "", at, Body::Hello(me.clone()));
+            }
         }
         let wait = if alone { SEEK_US } else { RESEEK_US };
         self.seek_at = now.saturating_add(self.jittered(wait));
@@ -779,8 +796,8 @@
         let heard = self.records.get(to).map_or(UNHEARD, |r| r.heard_tenths(now));
         let me = self.me();
         let (level, cluster, from) = (LEVEL, self.cluster, &*me.name);
-        let (incarnation, revision) = (me.incarnation, me.revision);
-        message::write(&Envelope { level, cluster, from, incarnation, revision, heard, body })
+        let incarnation = me.incarnation;
+        message::write(&Envelope { level, cluster, from, incarnation, heard, body })
     }
 
     fn send(&mut self, now: Micros, to: &str, at: SocketAddrV4, body: Body<'_>) {
--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -25,8 +25,6 @@
     pub from: &'a str,
     /// Which life of it.
     pub incarnation: u64,
-    /// Which revision of that.
-    pub revision: u32,
     /// Tenths of a second since it last heard from the receiver, 254 at most; 255: never.
     pub heard: u8,
     /// What it says.
@@ -93,7 +91,6 @@
         cluster: cluster(cluster_name),
         from: "",
         incarnation: 0,
-        revision: 0,
         heard: UNHEARD,
         body,
     })
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -57,8 +57,8 @@
     pub questioned: Option<Micros>,
     /// What observers said last of this life, when it came.
     pub words: BTreeMap<String, (Micros, Saying)>,
-    /// When it was last asked how it presents itself.
-    pub asked_at: Micros,
+    /// When it was last told how we present ourselves now.
+    pub corrected_at: Micros,
     /// Another observer asked us to look after it; until when that holds.
     pub asked_until: Micros,
     /// Our own check of it.
@@ -108,7 +108,7 @@
             suspect: false,
             questioned: None,
             words: BTreeMap::new(),
-            asked_at: 0,
+            corrected_at: 0,
             asked_until: 0,
             check: None,
             check_from: 0,
--- a/crates/fleet/src/swim.rs
+++ b/crates/fleet/src/swim.rs
@@ -71,6 +71,12 @@
     Replaced(Life),
 }
 
+/// From whom and to whom a message of SWIM's is, as its sender knows both.
+pub fn addressed(message: &[u8]) -> Option<(Life, Life)> {
+    let (header, _) = postcard::take_from_bytes::<foca::Header<Life>>(message).ok()?;
+    Some((header.src, header.dst))
+}
+
 /// SWIM and its timers.
 pub struct Swim {
     foca: Foca<Life, foca::PostcardCodec, ChaCha8Rng, Words>,
--- a/crates/lab/src/checks.rs
+++ b/crates/lab/src/checks.rs
@@ -399,12 +399,19 @@
     let faults: Vec<&Interval> = history.faults.iter().filter(matters).collect();
     let ends: BTreeSet<u64> = faults.iter().map(|f| f.until).filter(|t| *t < history.closed).collect();
     for end in ends {
-        let next = faults.iter().map(|f| f.from).filter(|t| *t > end).min().unwrap_or(history.closed);
+        let changes = faults.iter().flat_map(|f| [f.from, f.until]);
+        let next = changes.filter(|t| *t > end).min().unwrap_or(history.closed).min(history.closed);
         let calm = !faults.iter().any(|f| f.from < end && f.until > end && f.what != "dead");
         if !calm || next < end + within {
             continue; // something else went wrong meanwhile, or the run was over
         }
+        // A director whose name a later process took over is in the fleet no more, and says so.
+        let replaced = |i: usize| {
+            let said = |l: &LogLine| l.director == i && l.msg == "fleet: a later process bears our name";
+            history.log.iter().any(said)
+        };
         let alive: Vec<usize> = (0..history.directors)
+            .filter(|i| !replaced(*i))
             .filter(|i| !history.held(&["dead", "stop", "leaving"], &format!("d{i}"), end + 1, next))
             .collect();
         let mut digests: BTreeMap<usize, &str> = BTreeMap::new();
