--- /dev/null
+++ b/crates/lab/tests/checks.rs
@@ -0,0 +1,158 @@
+//! Each check against a history in which all is right, and against the same with one error planted.
+use std::collections::BTreeMap;
+use stonewharf_lab::{Asked, Final, History, Interval, LogLine, SetUp, check};
+
+const S: u64 = 1_000_000;
+const T: u64 = 1_000 * S;
+
+fn line(director: usize, at: u64, msg: &str, keys: &[(&str, &str)]) -> LogLine {
+    let keys: BTreeMap<String, serde_json::Value> =
+        keys.iter().map(|(k, v)| (k.to_string(), (*v).into())).collect();
+    LogLine { director, at, msg: msg.into(), keys }
+}
+
+fn asked(id: &str, director: usize, at: u64, finals: Vec<(u64, Final)>) -> Asked {
+    Asked { id: id.into(), paid: true, director, at, finals, broke_at: None }
+}
+
+fn fault(what: &str, who: &[&str], to: &[&str], from: u64, until: u64) -> Interval {
+    let names = |list: &[&str]| list.iter().map(|n| n.to_string()).collect();
+    Interval { what: what.into(), who: names(who), to: names(to), one_way: false, from, until }
+}
+
+/// Three directors; d2 is killed at 5 s and found by both others; a session is served, another refused.
+fn right() -> History {
+    let mut log = Vec::new();
+    for d in 0..3 {
+        log.push(line(d, T - S, "fleet view", &[("digest", "abc")]));
+    }
+    for d in 0..2 {
+        log.push(line(d, T + 6 * S, "fleet: lost", &[("member", "d2")]));
+        log.push(line(d, T + 6 * S, "fleet view", &[("digest", "ab")]));
+    }
+    History {
+        directors: 3,
+        fleet: true,
+        began: T,
+        ended: T + 20 * S,
+        closed: T + 22 * S,
+        found_within_s: 3.0,
+        equal_within_s: 3.0,
+        deadline_us: 1_500_000,
+        asked: vec![
+            asked("a1", 0, T + S, vec![(T + S + 2_000, Final::Served)]),
+            asked("a2", 1, T + S, vec![(T + S + 2_000, Final::Refused)]),
+        ],
+        set_ups: vec![SetUp {
+            streamer: 0,
+            id: "a1".into(),
+            class: "replay".into(),
+            rung: Some(1),
+            at: T + S,
+        }],
+        log,
+        faults: vec![fault("dead", &["d2"], &[], T + 5 * S, T + 22 * S)],
+        ..History::default()
+    }
+}
+
+fn caught(name: &str, plant: impl FnOnce(&mut History)) {
+    let mut history = right();
+    plant(&mut history);
+    let checked = check(&history);
+    let found = &checked.checks[name];
+    assert!(!checked.valid && found.offences > 0, "{name}: {checked:?}");
+    assert!(found.first.as_ref().is_some_and(|f| !f.what.is_empty()));
+}
+
+#[test]
+fn what_is_right_passes_and_each_check_looked_at_something() {
+    let checked = check(&right());
+    assert!(checked.valid && checked.rules_broken == 0, "{checked:?}");
+    for name in ["one_final_answer", "answered_in_time", "no_second_paid_set_up", "replay_never_lowest"] {
+        assert!(checked.checks[name].looked_at > 0, "{name}");
+    }
+    assert_eq!((checked.checks["losses_found"].looked_at, checked.detection.count), (2, 2));
+    assert_eq!((checked.served, checked.refused, checked.detection.p50_ms), (1, 1, 1_000));
+}
+
+#[test]
+fn two_answers_a_late_one_and_none_are_caught() {
+    caught("one_final_answer", |h| h.asked[0].finals.push((T + 2 * S, Final::Failed)));
+    caught("answered_in_time", |h| h.asked[0].finals[0].0 = T + 4 * S);
+    caught("answered_in_time", |h| h.asked[0].finals.clear());
+    caught("answered_in_time", |h| {
+        h.asked[0].finals.clear();
+        h.asked[0].broke_at = Some(T + S + 5_000);
+    });
+}
+
+#[test]
+fn what_the_lab_itself_hindered_is_no_offence() {
+    let mut history = right();
+    history.asked.push(asked("a3", 2, T + 5 * S - 1_000, vec![]));
+    let checked = check(&history);
+    assert!(checked.valid && checked.excused == 1, "{checked:?}");
+}
+
+#[test]
+fn a_second_paid_set_up_and_the_lowest_rung_are_caught() {
+    let again = |h: &mut History, streamer, rung, id: &str| {
+        h.set_ups.push(SetUp {
+            streamer,
+            id: id.into(),
+            class: "replay".into(),
+            rung: Some(rung),
+            at: T + 2 * S,
+        });
+    };
+    caught("no_second_paid_set_up", |h| again(h, 1, 1, "a1"));
+    caught("replay_never_lowest", |h| again(h, 1, 0, "a9"));
+}
+
+#[test]
+fn a_set_up_at_a_streamer_told_as_leaving_is_caught() {
+    caught("drains", |h| {
+        h.faults.push(fault("drain", &["s0"], &[], T, T + 22 * S));
+        h.set_ups[0].at = T + 3 * S;
+    });
+}
+
+#[test]
+fn a_crash_is_caught() {
+    caught("no_crash", |h| h.crashed.push((1, "signal: 6".into())));
+}
+
+#[test]
+fn a_loss_that_is_found_late_or_by_one_alone_is_caught() {
+    caught("losses_found", |h| h.log.retain(|l| !(l.director == 1 && l.msg == "fleet: lost")));
+    caught("losses_found", |h| {
+        let late = h.log.iter_mut().filter(|l| l.director == 1 && l.at > T);
+        late.for_each(|l| l.at += 4 * S);
+    });
+}
+
+#[test]
+fn a_healthy_member_taken_as_lost_is_caught() {
+    caught("no_wrong_removal", |h| h.log.push(line(0, T + 2 * S, "fleet: lost", &[("member", "d1")])));
+    // Also where one bad link is the reason: the others reach it.
+    caught("no_wrong_removal", |h| {
+        h.directors = 7;
+        h.faults.push(fault("cut", &["d0"], &["d1"], T + S, T + 9 * S));
+        h.log.push(line(0, T + 3 * S, "fleet: lost", &[("member", "d1")]));
+    });
+}
+
+#[test]
+fn views_that_stay_different_after_a_fault_are_caught() {
+    caught("views_equal", |h| {
+        h.faults.push(fault("stop", &["d1"], &[], T + 12 * S, T + 12 * S + S / 2));
+        h.log.push(line(1, T + 13 * S, "fleet view", &[("digest", "a")]));
+    });
+}
+
+#[test]
+fn twins_and_reloads_that_nobody_speaks_of_are_caught() {
+    caught("twins_said", |h| h.faults.push(fault("twin", &["d1"], &[], T + 8 * S, T + 9 * S)));
+    caught("reloads_said", |h| h.faults.push(fault("reload", &["d1"], &[], T + 8 * S, T + 8 * S)));
+}
