Lab: name an unknown name of a fault before an empty list

Cause: the test of the scenario's errors failed on the commit before: a list with one unknown name was called empty.

--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -174,14 +174,14 @@
             let lists: &[(&str, &Vec<String>)] =
                 if links { &[("from", &fault.from), ("to", &fault.to)] } else { &[("who", &fault.who)] };
             for (name, list) in lists {
-                if self.named(list).is_empty() {
-                    return Err((key(name), "names nobody; names such as d0, s1, d* are allowed".into()));
-                }
                 if let Some(unknown) = list.iter().find(|n| self.named(std::slice::from_ref(n)).is_empty()) {
                     let (d, s) = (self.directors - 1, self.streamers - 1);
                     let told = format!("names {unknown:?}; d0 to d{d}, s0 to s{s}, b0 to b{d} are there");
                     return Err((key(name), told));
                 }
+                if self.named(list).is_empty() {
+                    return Err((key(name), "names nobody; names such as d0, s1, d* are allowed".into()));
+                }
             }
         }
         Ok(())
