--- a/deploy/operator.hcl
+++ b/deploy/operator.hcl
@@ -47,3 +47,6 @@
   # The halls, by name: those that `order` may use and that the log names.
   names = ["hall-a", "hall-b"]
 }
+
+# Directors that know of each other: off here, since there is no block `fleet` and this platform has one listener and
+# no talk between instances. Its settings, for other installations: docs/operators/fleet.md.
