--- a/crates/lab/src/checks.rs
+++ b/crates/lab/src/checks.rs
@@ -1,6 +1,6 @@
 //! What has to hold in every run, read from its history alone: the platform's rules at viewers and streamers, and
 //! who knew what of the fleet when. Each check counts what it looked at; one that looked at nothing says so.
-use crate::history::{Asked, Final, History, Interval, LogLine};
+use crate::history::{Asked, Final, History, Interval, LogLine, SetUp};
 use hdrhistogram::Histogram;
 use serde::Serialize;
 use std::collections::{BTreeMap, BTreeSet};
@@ -83,12 +83,25 @@
     pub late_ms: u64,
 }
 
+/// What a give-up may come later than the next set-up, on another link: the relays' turns.
+const SWAPPED_US: u64 = 50_000;
+/// The settings that the lab gives all directors: what a cold streamer begins with, and what it falls under.
+const COLD_FROM: f64 = 0.4;
+const FALL: f64 = 3.0;
+
 /// The longest time that is told apart, milliseconds.
 const LONGEST_MS: u64 = 3_600_000;
 
 /// The checks that are rules of the platform.
-const RULES: [&str; 5] =
-    ["one_final_answer", "answered_in_time", "no_second_paid_set_up", "replay_never_lowest", "drains"];
+const RULES: [&str; 7] = [
+    "one_final_answer",
+    "answered_in_time",
+    "one_attempt_at_a_time",
+    "no_second_paid_set_up",
+    "replay_never_lowest",
+    "drains",
+    "cold_pace",
+];
 
 struct Book<'a> {
     history: &'a History,
@@ -137,7 +150,9 @@
     let mut out = Checked { late_ms: history.late_us / 1_000, ..Checked::default() };
     answers(&mut book, &mut out);
     set_ups(&mut book);
+    attempts(&mut book);
     drains(&mut book);
+    cold(&mut book);
     book.looked("no_crash", history.crashed.len() as f64);
     for (i, word) in &history.crashed {
         book.wrong("no_crash", history.closed, format!("d{i} ended by itself: {word}"), &[*i]);
@@ -249,6 +264,57 @@
     }
 }
 
+/// Of one session one attempt at a time is out: the one before was answered or given up at its streamer before
+/// the next came whole to another. Both travel on links of their own, so the lab's relays may swap them by what
+/// they delay.
+fn attempts(book: &mut Book<'_>) {
+    let history = book.history;
+    let slowed = history.faults.iter().any(|f| matches!(f.what.as_str(), "bad" | "cut"));
+    let mut last: BTreeMap<&str, &SetUp> = BTreeMap::new();
+    for s in &history.set_ups {
+        book.looked("one_attempt_at_a_time", 0.0);
+        if let Some(before) = last.insert(&s.id, s) {
+            let overlap = before.over.is_none_or(|over| over > s.at + SWAPPED_US);
+            if overlap && !slowed {
+                let what = format!(
+                    "session {} comes to s{} while it is out at s{}",
+                    s.id, s.streamer, before.streamer
+                );
+                book.wrong("one_attempt_at_a_time", s.at, what, &[]);
+            }
+        }
+    }
+}
+
+/// A streamer that has just started takes no more set-ups in any second, of all directors together, than its
+/// settings allow for as warm as it was when that second began.
+fn cold(book: &mut Book<'_>) {
+    let history = book.history;
+    for restart in history.faults.iter().filter(|f| f.what == "restart") {
+        let (back, warm) = (restart.until, restart.until + history.warm_up_us);
+        let cold: BTreeSet<usize> =
+            restart.who.iter().filter_map(|n| n.strip_prefix('s')?.parse().ok()).collect();
+        for streamer in cold {
+            let times: Vec<u64> = (history.set_ups.iter())
+                .filter(|s| s.streamer == streamer && s.at >= back && s.at < warm)
+                .map(|s| s.at)
+                .collect();
+            for (n, first) in times.iter().enumerate() {
+                let window = times[n..].iter().take_while(|at| **at < first + SECOND).count() as f64;
+                let warmed =
+                    COLD_FROM + (1.0 - COLD_FROM) * (first - back) as f64 / history.warm_up_us as f64;
+                let allowed = FALL * f64::from(history.streams) / (history.warm_up_us as f64 / 1e6) * warmed;
+                book.looked("cold_pace", window / allowed);
+                if window > allowed.max(1.0) {
+                    let what =
+                        format!("s{streamer} takes {window} set-ups in a second, {allowed:.1} allowed");
+                    book.wrong("cold_pace", *first, what, &[]);
+                }
+            }
+        }
+    }
+}
+
 fn drains(book: &mut Book<'_>) {
     let history = book.history;
     for drain in history.faults.iter().filter(|f| f.what == "drain") {
--- a/crates/lab/src/history.rs
+++ b/crates/lab/src/history.rs
@@ -44,6 +44,8 @@
     pub rung: Option<usize>,
     /// When it came whole.
     pub at: u64,
+    /// When the attempt was over at the streamer: answered, given up or its connection gone.
+    pub over: Option<u64>,
 }
 
 /// A line of a process's log.
@@ -104,6 +106,10 @@
     pub found_within_s: f64,
     /// See `found_within_s`.
     pub equal_within_s: f64,
+    /// How long a streamer takes to warm up, microseconds; how many streams it runs at most.
+    pub warm_up_us: u64,
+    /// See `warm_up_us`.
+    pub streams: u32,
     /// The longest that a viewer waits, microseconds.
     pub deadline_us: u64,
     /// What viewers asked.
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -18,6 +18,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant, SystemTime};
+use stonewharf_standins::Mode;
 
 /// Directors have so long to find each other before the viewers begin.
 const MEET: Duration = Duration::from_secs(10);
@@ -109,6 +110,8 @@
         found_within_s: scenario.found_within_s,
         equal_within_s: scenario.equal_within_s,
         deadline_us: DEADLINE.as_micros() as u64,
+        warm_up_us: (scenario.warm_up_s * 1e6) as u64,
+        streams: scenario.streams,
         ..History::default()
     };
     let mut lab = Lab {
@@ -361,10 +364,12 @@
                 }
             }
             Kind::Silent => directors.into_iter().for_each(|i| self.world.bulletins[i].silence(true)),
-            Kind::Drain => {
-                let streamers: Vec<usize> =
-                    who.iter().filter_map(|n| n.strip_prefix('s')?.parse().ok()).collect();
-                self.world.tell(&streamers, "terminating");
+            Kind::Drain => self.world.tell(&streamers_of(&who), "terminating", 0),
+            Kind::Stall => {
+                streamers_of(&who).into_iter().for_each(|k| self.world.streamers[k].set(Mode::Stalls))
+            }
+            Kind::Restart => {
+                streamers_of(&who).into_iter().for_each(|k| self.world.streamers[k].set(Mode::Refuses));
             }
         }
         let lasting = !matches!(fault.kind, Kind::Kill | Kind::Term | Kind::Reload | Kind::Drain);
@@ -390,6 +395,13 @@
             Kind::Stop => directors.into_iter().for_each(|i| self.world.signal(i, Signal::CONT)),
             Kind::Twin => directors.into_iter().for_each(|i| self.world.untwin(i)),
             Kind::Silent => directors.into_iter().for_each(|i| self.world.bulletins[i].silence(false)),
+            Kind::Stall | Kind::Restart => {
+                let streamers = streamers_of(&self.world.scenario.named(&fault.who));
+                streamers.iter().for_each(|k| self.world.streamers[*k].set(Mode::Answers));
+                if fault.kind == Kind::Restart {
+                    self.world.tell(&streamers, "in_service", unix_us() / 1_000);
+                }
+            }
             Kind::Noise => {
                 let (over, on): (Vec<_>, Vec<_>) =
                     std::mem::take(&mut self.noise).into_iter().partition(|n| n.0 == f);
@@ -423,7 +435,8 @@
             for s in streamer.set_ups() {
                 let at = unix(s.at);
                 let (id, class, rung) = (s.session, s.class, s.rung);
-                self.history.set_ups.push(SetUp { streamer: k, id, class, rung, at });
+                let over = s.over.map(unix);
+                self.history.set_ups.push(SetUp { streamer: k, id, class, rung, at, over });
             }
         }
         self.history.set_ups.sort_by_key(|s| s.at);
@@ -442,6 +455,10 @@
     }
 }
 
+fn streamers_of(names: &[String]) -> Vec<usize> {
+    names.iter().filter_map(|n| n.strip_prefix('s')?.parse().ok()).collect()
+}
+
 /// Noise at a peer port until told to stop: random, oversized, and well-formed bytes of another cluster.
 fn noise(at: SocketAddr, seed: u64, stop: &AtomicBool) {
     let mut dice = ChaCha8Rng::seed_from_u64(seed);
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -28,6 +28,10 @@
     Silent,
     /// The streamers `who` are told as leaving, to all directors.
     Drain,
+    /// The streamers `who` take set-ups and answer none.
+    Stall,
+    /// The processes of the streamers `who` are gone, and back when it is over: cold, and told as such.
+    Restart,
 }
 
 /// One fault.
@@ -99,6 +103,10 @@
     pub viewers_per_s: f64,
     /// Seconds that a session lasts, 0.1 to 60.
     pub session_s: f64,
+    /// Seconds that a streamer takes to warm up, 0.001 to 60, and streams that it runs, 1 to 10,000.
+    pub warm_up_s: f64,
+    /// See `warm_up_s`.
+    pub streams: u32,
     /// Whether directors know of each other.
     pub fleet: bool,
     /// Seeds that are told to each director; 0: three.
@@ -122,6 +130,8 @@
             seconds: 10.0,
             viewers_per_s: 10.0,
             session_s: 1.0,
+            warm_up_s: 0.001,
+            streams: 400,
             fleet: true,
             seeds: 0,
             faults: Vec::new(),
@@ -161,6 +171,8 @@
         within("seconds", self.seconds, 1.0, 3_600.0)?;
         within("viewers_per_s", self.viewers_per_s, 0.0, 200.0)?;
         within("session_s", self.session_s, 0.1, 60.0)?;
+        within("warm_up_s", self.warm_up_s, 0.001, 60.0)?;
+        within("streams", f64::from(self.streams), 1.0, 10_000.0)?;
         within("drawn", self.drawn as f64, 0.0, 100.0)?;
         for (i, fault) in self.faults.iter().enumerate() {
             let key = |name: &str| format!("faults[{i}].{name}");
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -122,18 +122,19 @@
         })
     }
 
-    fn member(&self, i: usize, k: usize, phase: &str) -> String {
+    fn member(&self, i: usize, k: usize, phase: &str, since_ms: u64) -> String {
         let at = self.to_streamers[i][k];
         format!(
-            r#"{{"id":"s-{k}","host_port":"{at}","locality":"hall-a","flavor":"two-core","cell":0,"phase":"{phase}","size":1,"up_since_ms":0}}"#
+            r#"{{"id":"s-{k}","host_port":"{at}","locality":"hall-a","flavor":"two-core","cell":0,"phase":"{phase}","size":1,"up_since_ms":{since_ms}}}"#
         )
     }
 
-    /// Tells all directors of streamers in another phase.
-    pub fn tell(&mut self, streamers: &[usize], phase: &str) {
+    /// Tells all directors of streamers in another phase, or started at a Unix time (ms; 0: long ago).
+    pub fn tell(&mut self, streamers: &[usize], phase: &str, since_ms: u64) {
         self.told += 1;
         for (i, bulletin) in self.bulletins.iter().enumerate() {
-            let members: Vec<String> = streamers.iter().map(|k| self.member(i, *k, phase)).collect();
+            let members: Vec<String> =
+                streamers.iter().map(|k| self.member(i, *k, phase, since_ms)).collect();
             bulletin.tell(self.told, &members);
         }
     }
@@ -173,11 +174,13 @@
         settings["me"] = i.into();
         settings["peers_total"] = self.scenario.directors.into();
         settings["my_zone"] = if i.is_multiple_of(2) { "hall-a" } else { "hall-b" }.into();
+        settings["family_info"]["kind_streams"] = serde_json::json!([self.scenario.streams]);
+        settings["rules"]["ramp_time_us"] = ((self.scenario.warm_up_s * 1e6) as u64).into();
         let streams = 40_000.0 * self.scenario.streamers as f64;
         settings["family_info"]["fleet_kb"] = streams.into();
         settings["family_info"]["rack_kb"] = streams.into();
         let members: Vec<String> =
-            (0..self.streamers.len()).map(|k| self.member(i, k, "in_service")).collect();
+            (0..self.streamers.len()).map(|k| self.member(i, k, "in_service", 0)).collect();
         let members: serde_json::Value =
             serde_json::from_str(&format!("[{}]", members.join(","))).map_err(io::Error::other)?;
         let config = serde_json::json!({
--- a/crates/lab/tests/checks.rs
+++ b/crates/lab/tests/checks.rs
@@ -49,6 +49,7 @@
             class: "replay".into(),
             rung: Some(1),
             at: T + S,
+            over: Some(T + S),
         }],
         log,
         faults: vec![fault("dead", &["d2"], &[], T + 5 * S, T + 22 * S)],
@@ -104,6 +105,7 @@
             class: "replay".into(),
             rung: Some(rung),
             at: T + 2 * S,
+            over: Some(T + 2 * S),
         });
     };
     caught("no_second_paid_set_up", |h| again(h, 1, 1, "a1"));
@@ -118,6 +120,41 @@
     });
 }
 
+#[test]
+fn a_second_attempt_while_the_first_is_out_is_caught() {
+    caught("one_attempt_at_a_time", |h| {
+        let first = |over| SetUp {
+            streamer: 0,
+            id: "b1".into(),
+            class: "seat-view".into(),
+            rung: None,
+            at: T + 3 * S,
+            over,
+        };
+        h.set_ups.push(first(Some(T + 5 * S)));
+        h.set_ups.push(SetUp { streamer: 1, at: T + 4 * S, ..first(Some(T + 4 * S)) });
+    });
+}
+
+#[test]
+fn a_cold_streamer_pushed_over_by_all_together_is_caught() {
+    caught("cold_pace", |h| {
+        (h.streams, h.warm_up_us) = (24, 3 * S);
+        h.faults.push(fault("restart", &["s0"], &[], T + 8 * S, T + 9 * S));
+        for n in 0..40 {
+            let (id, at) = (format!("c{n}"), T + 9 * S + n * 1_000);
+            h.set_ups.push(SetUp {
+                streamer: 0,
+                id,
+                class: "seat-view".into(),
+                rung: None,
+                at,
+                over: Some(at),
+            });
+        }
+    });
+}
+
 #[test]
 fn a_crash_is_caught() {
     caught("no_crash", |h| h.crashed.push((1, "signal: 6".into())));
--- a/crates/standins/src/streamer.rs
+++ b/crates/standins/src/streamer.rs
@@ -35,6 +35,10 @@
     pub class: String,
     /// The rung it starts at; `None` where the message had none.
     pub rung: Option<usize>,
+    /// When the attempt was over here: answered, given up, or its connection closed.
+    pub over: Option<Instant>,
+    /// The connection that it came on.
+    on: usize,
 }
 
 /// A scripted streamer.
@@ -117,11 +121,13 @@
                 // It starts anew: what it held is gone.
                 fillers.clear();
                 (connections, sessions) = Default::default();
+                over(book, |_| true);
                 drop(listener.take());
                 listener = Some(listen(address));
             }
             if mode == Mode::Refuses as u8 {
                 (connections, sessions, listener) = Default::default();
+                over(book, |_| true);
             }
             if mode == Mode::Silent as u8 {
                 fillers.extend((0..FILLERS).map(|_| filler(address)));
@@ -152,7 +158,10 @@
                 let _ = reply.map(|reply| connection.stream.write_all(reply.as_bytes()));
             }
         }
-        ended.into_iter().for_each(|number| drop(connections.remove(&number)));
+        for number in ended {
+            connections.remove(&number);
+            over(book, |s| s.on == number);
+        }
         if mode == Mode::Answers as u8 {
             let now = Instant::now();
             let over: Vec<String> = sessions.iter().filter(|s| s.1.0 <= now).map(|s| s.0.clone()).collect();
@@ -173,6 +182,16 @@
     }
 }
 
+/// Attempts that are over now, where they were not yet.
+fn over(book: &Mutex<Vec<SetUp>>, which: impl Fn(&SetUp) -> bool) {
+    let now = Instant::now();
+    let mut book = book.lock().expect("held");
+    // The latest alone may still be out: attempts are short, and a run is long.
+    let recent = book.len().saturating_sub(4_096);
+    let out = book[recent..].iter_mut().filter(|s| s.over.is_none() && which(s));
+    out.for_each(|s| s.over = Some(now));
+}
+
 /// A connection that takes a place in the queue of a listener that takes none.
 fn filler(address: SocketAddr) -> Socket {
     let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
@@ -221,7 +240,15 @@
         "SETUP" => {
             let class = field(message, "Priority-Class").unwrap_or_default();
             let rung = field(message, "X-Quality").and_then(|r| r.parse().ok());
-            book.lock().expect("held").push(SetUp { at: now, session: session.clone(), class, rung });
+            let over = answers.then_some(now);
+            book.lock().expect("held").push(SetUp {
+                at: now,
+                session: session.clone(),
+                class,
+                rung,
+                over,
+                on,
+            });
             answers.then(|| {
                 sessions.insert(session.clone(), (now + life, on));
                 ok("", "v=0")
@@ -229,6 +256,7 @@
         }
         "TEARDOWN" => {
             sessions.remove(&session);
+            over(book, |s| s.session == session);
             answers.then(|| ok("", ""))
         }
         "OPTIONS" => answers.then(|| ok("P-Load: load_share:0.3\r\n", "")),
