--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -1,6 +1,6 @@
 //! The fleet as one director sees it: records of all others, changed by what comes in and by time, and what
-//! is to be sent and told of it. SWIM finds who is in question; observers, drawn for each member by rendezvous
-//! hashing, check it themselves and say what they heard; several of them make it lost.
+//! is to be sent and told of it. SWIM finds who is in question; observers, drawn for each member by
+//! rendezvous hashing, check it themselves and say what they heard; several of them make it lost.
 use crate::life::{Life, Phase};
 use crate::message::{self, Body, DATAGRAM_MOST, ENVELOPE_MOST, Envelope, FRAME_MOST, LEVEL, UNHEARD};
 use crate::record::{Check, Record, Verdict};
@@ -332,9 +332,9 @@
         Ok(answer.map(|body| self.envelope(now, &to, body)))
     }
 
-    /// SWIM drops what is addressed to a former life or revision of ours, and with it the news of the sender's
-    /// own: two that changed at one time drop each other's for seconds, and one that is back at once is not
-    /// known until it was found to be gone. Who addresses what we were is told what we are.
+    /// SWIM drops what is addressed to a former life or revision of ours, and with it the news of the
+    /// sender's own: two that changed at one time drop each other's for seconds, and one that is back at
+    /// once is not known until it was found to be gone. Who addresses what we were is told what we are.
     fn correct(&mut self, now: Micros, message: &[u8]) {
         let Some((from, to)) = crate::swim::addressed(message) else { return };
         let me = self.me().clone();
@@ -601,8 +601,9 @@
         }
     }
 
-    /// Whose word on a member is asked for: the first by a hash of both names among the sound ones, so that each
-    /// member has a few and each director a few to look after (rendezvous hashing, Thaler and Ravishankar 1998).
+    /// Whose word on a member is asked for: the first by a hash of both names among the sound ones, so that
+    /// each member has a few and each director a few to look after (rendezvous hashing, Thaler and
+    /// Ravishankar 1998).
     fn observers(&self, subject: &str) -> Vec<String> {
         let weight = |name: &str| xxh3_64(format!("{name}\0{subject}").as_bytes());
         let sound = self.records.iter().filter(|(name, r)| r.sound() && *name != subject).map(|(n, _)| &**n);
--- a/crates/lab/src/checks.rs
+++ b/crates/lab/src/checks.rs
@@ -1,5 +1,6 @@
-//! What has to hold in every run, read from its history alone: the platform's rules at viewers and streamers, and
-//! who knew what of the fleet when. Each check counts what it looked at; one that looked at nothing says so.
+//! What has to hold in every run, read from its history alone: the platform's rules at viewers and
+//! streamers, and who knew what of the fleet when. Each check counts what it looked at; one that looked at
+//! nothing says so.
 use crate::history::{Asked, Final, History, Interval, LogLine, SetUp};
 use hdrhistogram::Histogram;
 use serde::Serialize;
@@ -12,7 +13,8 @@
 const AFTERMATH_US: u64 = 4 * SECOND;
 /// A stop shorter than this removes nobody.
 const SHORT_STOP_US: u64 = SECOND;
-/// After a streamer was told as leaving it takes no set-up: the platform's grace time and slack, and the relays'.
+/// After a streamer was told as leaving it takes no set-up: the platform's grace time and slack, and the
+/// relays'.
 const DRAINED_US: u64 = SECOND + SECOND / 4;
 
 /// Something that should not have been.
@@ -264,9 +266,9 @@
     }
 }
 
-/// Of one session one attempt at a time is out: the one before was answered or given up at its streamer before
-/// the next came whole to another. Both travel on links of their own, so the lab's relays may swap them by what
-/// they delay.
+/// Of one session one attempt at a time is out: the one before was answered or given up at its streamer
+/// before the next came whole to another. Both travel on links of their own, so the lab's relays may swap
+/// them by what they delay.
 fn attempts(book: &mut Book<'_>) {
     let history = book.history;
     let slowed = history.faults.iter().any(|f| matches!(f.what.as_str(), "bad" | "cut"));
--- a/crates/lab/src/history.rs
+++ b/crates/lab/src/history.rs
@@ -1,5 +1,5 @@
-//! What happened in a run: what processes wrote, what stand-ins and viewers counted, what the lab did. Times are
-//! Unix microseconds of one machine. Written whole, so that a kept run can be checked again.
+//! What happened in a run: what processes wrote, what stand-ins and viewers counted, what the lab did.
+//! Times are Unix microseconds of one machine. Written whole, so that a kept run can be checked again.
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,6 +1,6 @@
-//! The lab: several processes of the program on loopback, every link between them led through relays, faults by
-//! schedule or drawn from a seed, and checks of what the processes wrote and the stand-ins counted. It signals
-//! only processes that it started, by id. Checks never ask a process what it hopes.
+//! The lab: several processes of the program on loopback, every link between them led through relays,
+//! faults by schedule or drawn from a seed, and checks of what the processes wrote and the stand-ins
+//! counted. It signals only processes that it started, by id. Checks never ask a process what it hopes.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
--- a/crates/lab/src/relay.rs
+++ b/crates/lab/src/relay.rs
@@ -1,5 +1,6 @@
-//! The relays that all links of a run go through: one thread, TCP and UDP, each relay from one that is named to
-//! another. What is done to a link holds at once, also for connections that are up. It changes no bytes.
+//! The relays that all links of a run go through: one thread, TCP and UDP, each relay from one that is
+//! named to another. What is done to a link holds at once, also for connections that are up. It changes no
+//! bytes.
 use mio::net::{TcpListener, TcpStream, UdpSocket};
 use mio::{Events, Interest, Poll, Token};
 use rand_chacha::ChaCha8Rng;
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -84,7 +84,8 @@
             for l in seen {
                 let x = ((l.at as f64 - history.began as f64) / SECOND).max(0.0);
                 let members = l.keys.get("members").and_then(|m| m.as_f64()).unwrap_or(0.0);
-                // A step: what it saw until now, then what it sees. A little apart, so that none hides another.
+                // A step: what it saw until now, then what it sees. A little apart, so that none hides
+                // another.
                 let y = members + i as f64 * 0.04;
                 points.extend(points.last().map(|p| (x, p.1)));
                 points.push((x, y));
@@ -122,8 +123,8 @@
     let page = context! {
         title => &history.title, seed => history.seed, directors => history.directors, fleet => history.fleet,
         valid => checked.valid, checks, times, faults, plots,
-        asked => checked.asked, served => checked.served, refused => checked.refused, failed => checked.failed,
-        excused => checked.excused, late_ms => checked.late_ms,
+        asked => checked.asked, served => checked.served, refused => checked.refused,
+        failed => checked.failed, excused => checked.excused, late_ms => checked.late_ms,
     };
     Ok(environment.get_template("report")?.render(page)?)
 }
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -86,8 +86,8 @@
     late: Duration,
 }
 
-/// Plays a scenario with the program and writes `history.json`, `result.json` and `report.html` into a folder.
-/// `watch` is told the share that is done.
+/// Plays a scenario with the program and writes `history.json`, `result.json` and `report.html` into a
+/// folder. `watch` is told the share that is done.
 pub fn run(
     program: &Path,
     scenario: &Scenario,
--- a/crates/lab/src/viewers.rs
+++ b/crates/lab/src/viewers.rs
@@ -1,5 +1,6 @@
-//! The viewers of a run: one crowd a director, at a steady pace, each request by the platform's binary messages.
-//! Those turned away come again after the time they were told. Every answer that comes is written down.
+//! The viewers of a run: one crowd a director, at a steady pace, each request by the platform's binary
+//! messages. Those turned away come again after the time they were told. Every answer that comes is written
+//! down.
 use crate::history::{Asked, Final};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io::{ErrorKind, Read, Write};
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -23,15 +23,18 @@
 
 /// The module's settings of each director; what differs is put in.
 const SETTINGS: &str = r#"{"accounts": [], "me": 0, "peers_total": 1, "membership_mode": "pushed",
-"my_zone": "hall-a", "dcs": ["hall-a", "hall-b"], "kinds": ["two-core"], "over_share_worth": 0.1, "deductions": {},
-"report": {"how": "pull", "names": ["load_share"]},
-"bounds": {"dial_timeout_us": 250000, "keepalive_us": 15000000, "max_attempts": 4, "max_retry_after_us": 1000000,
-  "multiplex": 32, "probes": false, "retry_after": true},
+"my_zone": "hall-a", "dcs": ["hall-a", "hall-b"], "kinds": ["two-core"], "over_share_worth": 0.1,
+"deductions": {}, "report": {"how": "pull", "names": ["load_share"]},
+"bounds": {"dial_timeout_us": 250000, "keepalive_us": 15000000, "max_attempts": 4,
+  "max_retry_after_us": 1000000, "multiplex": 32, "probes": false, "retry_after": true},
 "family_info": {"cells": 1, "racks": 1, "class_scale": [1.0, 1.0], "fleet_kb": 10000.0, "rack_kb": 10000.0,
-  "weight_kb": 40000.0, "full_from": 1.2, "highest_rung": [1, 1], "lowest_rung": [1, 0], "kind_streams": [400],
+  "weight_kb": 40000.0, "full_from": 1.2, "highest_rung": [1, 1], "lowest_rung": [1, 0],
+  "kind_streams": [400],
   "ladder_kb": [100.0, 200.0], "ladder_worth": [0.5, 1.0], "switch_s": 0.5},
-"lanes": [{"name": "replay", "importance": 2.0, "target_us": 750000, "deadline_us": 1500000, "effect": "at_most_once"},
-  {"name": "seat-view", "importance": 1.0, "target_us": 750000, "deadline_us": 1500000, "effect": "idempotent"}],
+"lanes": [{"name": "replay", "importance": 2.0, "target_us": 750000, "deadline_us": 1500000,
+    "effect": "at_most_once"},
+  {"name": "seat-view", "importance": 1.0, "target_us": 750000, "deadline_us": 1500000,
+    "effect": "idempotent"}],
 "rules": {"cold_from": 0.4, "ramp_time_us": 1000, "fall_multiple": 3.0}}"#;
 
 /// A director process that runs.
@@ -124,9 +127,11 @@
 
     fn member(&self, i: usize, k: usize, phase: &str, since_ms: u64) -> String {
         let at = self.to_streamers[i][k];
-        format!(
-            r#"{{"id":"s-{k}","host_port":"{at}","locality":"hall-a","flavor":"two-core","cell":0,"phase":"{phase}","size":1,"up_since_ms":{since_ms}}}"#
-        )
+        let member = serde_json::json!({
+            "id": format!("s-{k}"), "host_port": at.to_string(), "locality": "hall-a", "flavor": "two-core",
+            "cell": 0, "phase": phase, "size": 1, "up_since_ms": since_ms,
+        });
+        member.to_string()
     }
 
     /// Tells all directors of streamers in another phase, or started at a Unix time (ms; 0: long ago).
@@ -153,7 +158,8 @@
         let mut text = String::from("halls {\n  enabled = false\n}\n");
         if self.scenario.fleet {
             text.push_str(&format!(
-                "fleet {{\n  cluster = \"lab-{}\"\n  listen = \"{}:0\"\n  advertise = \"{}\"\n  seeds = [{}]\n  folder = {:?}\n}}\n",
+                "fleet {{\n  cluster = \"lab-{}\"\n  listen = \"{}:0\"\n  advertise = \"{}\"\n  \
+                 seeds = [{}]\n  folder = {:?}\n}}\n",
                 self.seed,
                 own_ip(i),
                 self.peers[i],
@@ -184,10 +190,13 @@
         let members: serde_json::Value =
             serde_json::from_str(&format!("[{}]", members.join(","))).map_err(io::Error::other)?;
         let config = serde_json::json!({
-            "name": format!("d{i}"), "listen": "127.0.0.1:0", "seed": format!("{:x}", self.seed * 1000 + i as u64),
+            "name": format!("d{i}"), "listen": "127.0.0.1:0",
+            "seed": format!("{:x}", self.seed * 1000 + i as u64),
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512},
             "bulletin": self.to_bulletin[i].to_string(),
-            "known": {"no": 1, "items": [{"no": 1, "roster": {"revision": 1, "complete": true, "members": members}}]},
+            "known": {"no": 1, "items": [
+                {"no": 1, "roster": {"revision": 1, "complete": true, "members": members}},
+            ]},
             "settings": settings,
         });
         let file = self.own_folder(i).join("config.json");
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -96,8 +96,8 @@
     }
 }
 
-/// Reads a text of HCL as `T`, with the places of all that stands in it; `change` may change values before they
-/// are taken. What is wrong is one line with its place, and what is allowed there.
+/// Reads a text of HCL as `T`, with the places of all that stands in it; `change` may change values before
+/// they are taken. What is wrong is one line with its place, and what is allowed there.
 pub fn read_hcl<T: serde::de::DeserializeOwned>(
     file: &str,
     text: &str,
--- a/src/cli/lab.rs
+++ b/src/cli/lab.rs
@@ -1,6 +1,6 @@
-//! `stonewharf lab`: runs a scenario with processes of this program, or checks a kept run again, and tells what came
-//! of it. Exits 0 where all held, 1 where a check failed, 2 where the run can't be made, 3 where the machine ran
-//! late.
+//! `stonewharf lab`: runs a scenario with processes of this program, or checks a kept run again, and tells
+//! what came of it. Exits 0 where all held, 1 where a check failed, 2 where the run can't be made, 3 where
+//! the machine ran late.
 use clap::Subcommand;
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
@@ -12,8 +12,8 @@
 pub enum Lab {
     /// Run a scenario; writes history.json, result.json, report.html and the directors' folders into DIR.
     ///
-    /// Exits 0 where all held, 1 where a check failed, 2 where the scenario can't be used, 3 where the machine ran
-    /// too late to judge.
+    /// Exits 0 where all held, 1 where a check failed, 2 where the scenario can't be used, 3 where the
+    /// machine ran too late to judge.
     Run {
         /// The scenario (HCL).
         scenario: PathBuf,
@@ -67,7 +67,8 @@
 fn told(verdict: &Verdict) -> ExitCode {
     let c = &verdict.checked;
     let mut text = format!(
-        "valid={} rules_broken={} asked={} served={} refused={} failed={} excused={} found_p50_ms={} found_p99_ms={} \
+        "valid={} rules_broken={} asked={} served={} refused={} failed={} excused={} \
+         found_p50_ms={} found_p99_ms={} \
          equal_p50_ms={} equal_p99_ms={} late_ms={}\n",
         c.valid,
         c.rules_broken,
