Say that the fleet is off here at the head of the operator file, not behind its last block

Saw: the suite under load failed on its first run: operator's test of a file cut short. Change: they stand in the header. Measured: the crate's tests pass; check prints the same.

--- a/deploy/operator.hcl
+++ b/deploy/operator.hcl
@@ -1,6 +1,9 @@
 # Settings of stonewharf's own subsystems. `stonewharf check --operator FILE` checks a file and prints what is in
 # force; SIGHUP takes a changed file over, all or nothing. A block that is absent is off. docs/operators/halls.md
 # tells when to change what.
+#
+# Directors that know of each other: off here, since there is no block `fleet` and this platform has one listener and
+# no talk between instances. Its settings, for other installations: docs/operators/fleet.md.
 
 # Loss and return of a hall: which hall comes first, how much spills from a lost one, how fast one returns.
 halls {
@@ -47,6 +50,3 @@
   # The halls, by name: those that `order` may use and that the log names.
   names = ["hall-a", "hall-b"]
 }
-
-# Directors that know of each other: off here, since there is no block `fleet` and this platform has one listener and
-# no talk between instances. Its settings, for other installations: docs/operators/fleet.md.
