--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -205,9 +205,7 @@
         Ok(file)
     }
 
-    fn spawn(&self, i: usize) -> io::Result<Child> {
-        let operator = self.operator_file(i, false)?;
-        let config = self.config_file(i)?;
+    fn spawn(&self, config: &Path, operator: &Path) -> io::Result<Child> {
         Command::new(&self.program)
             .args(["serve", "--log-format", "json", "--config"])
             .arg(config)
@@ -221,7 +219,7 @@
 
     /// Starts a director and waits until it serves.
     pub fn start(&mut self, i: usize) -> io::Result<()> {
-        let mut child = self.spawn(i)?;
+        let mut child = self.spawn(&self.config_file(i)?, &self.operator_file(i, false)?)?;
         let (told, heard) = std::sync::mpsc::channel();
         self.read_log(i, &mut child, move |line| {
             let _ = told.send(line.clone()); // nobody listens any more once it serves
@@ -321,15 +319,7 @@
             .replace(&format!("{}:0", own_ip(i)), &format!("{}:0", own_ip(100 + i)));
         let file = folder.join("operator.hcl");
         fs::write(&file, text)?;
-        let mut child = Command::new(&self.program)
-            .args(["serve", "--log-format", "json", "--config"])
-            .arg(config)
-            .arg("--operator")
-            .arg(file)
-            .stdin(Stdio::null())
-            .stdout(Stdio::null())
-            .stderr(Stdio::piped())
-            .spawn()?;
+        let mut child = self.spawn(&config, &file)?;
         let (told, heard) = std::sync::mpsc::channel();
         self.read_log(100 + i, &mut child, move |line| {
             let _ = told.send(line.clone()); // nobody listens any more once it serves
