--- a/src/net/part.rs
+++ b/src/net/part.rs
@@ -66,8 +66,8 @@
         let _ = self.each().any(|part| part.due(shared, director, due));
     }
 
-    /// Tells each that the turn is over. By name, not through the trait: it comes in every turn, and most parts
-    /// have nothing for it.
+    /// Tells each that the turn is over. By name, not through the trait: it comes in every turn, and most
+    /// parts have nothing for it.
     pub fn turned(&mut self, shared: &mut Shared) {
         self.viewers.turned(shared);
         self.streamers.turned(shared);
