--- a/crates/lab/src/relay.rs
+++ b/crates/lab/src/relay.rs
@@ -254,8 +254,7 @@
         let told = self.told.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
         let mut all = Damage::default();
         let names = |list: &[String], name: &str| list.iter().any(|n| n == name);
-        for (_, a, b, d) in told.damages.iter().filter(|(_, a, b, _)| names(a, from) && names(b, to)) {
-            let _ = (a, b);
+        for (.., d) in told.damages.iter().filter(|(_, a, b, _)| names(a, from) && names(b, to)) {
             all.cut |= d.cut;
             all.reset |= d.reset;
             all.loss = 1.0 - (1.0 - all.loss) * (1.0 - d.loss);
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -444,8 +444,6 @@
         self.history.log.sort_by_key(|l| l.at);
         self.history.crashed = std::mem::take(&mut self.world.crashed);
         let (relays, ..) = self.world.relays.counts();
-        let crowds = Duration::from_micros(self.world.crowds.late_us.load(Ordering::Relaxed));
-        let _ = crowds; // a crowd is late while its director is gone; that is no fault of the machine's
         self.late = self.late.max(relays);
         self.history.late_us = self.late.as_micros() as u64;
         for (_, stop, thread) in std::mem::take(&mut self.noise) {
--- a/crates/lab/src/viewers.rs
+++ b/crates/lab/src/viewers.rs
@@ -29,8 +29,6 @@
     pub at: Arc<Mutex<Vec<Option<SocketAddr>>>>,
     ids: Arc<AtomicU64>,
     stop: Arc<AtomicBool>,
-    /// By how much a crowd was late at most, microseconds.
-    pub late_us: Arc<AtomicU64>,
 }
 
 impl Crowds {
@@ -40,7 +38,6 @@
             at: Arc::new(Mutex::new(vec![None; directors])),
             ids: Arc::new(AtomicU64::new((seed << 40) | 1)),
             stop: Arc::default(),
-            late_us: Arc::default(),
         }
     }
 
@@ -128,13 +125,11 @@
 
     fn ask_due(&mut self) {
         let now = Instant::now();
-        let late = now.saturating_duration_since(self.next).as_micros() as u64;
         while self.next <= now {
             self.next += self.gap;
             let id = self.crowds.ids.fetch_add(1, Ordering::Relaxed);
             self.ask(id, id.is_multiple_of(3), false);
         }
-        self.crowds.late_us.fetch_max(late, Ordering::Relaxed);
         while self.again.front().is_some_and(|a| a.0 <= now) {
             let Some((_, paid)) = self.again.pop_front() else { break };
             let id = self.crowds.ids.fetch_add(1, Ordering::Relaxed);
