--- a/crates/core/src/director/counters.rs
+++ b/crates/core/src/director/counters.rs
@@ -74,6 +74,8 @@
     failed,
     /// Requests that their viewers gave up before the answer.
     left_early,
+    /// Sessions ended because the answer that they stand could not be passed on whole.
+    undelivered,
     /// Attempts that streamers turned away as full.
     full,
     /// Attempts that streamers answered with an error.
--- a/crates/core/src/director/ledger/mod.rs
+++ b/crates/core/src/director/ledger/mod.rs
@@ -39,11 +39,26 @@
     stage: Stage,
     rung: usize,
     attempts: u32,
+    /// When the last attempt was sent.
+    sent_at: Micros,
+    /// By when a further attempt must have left, once an earlier one may have run.
+    repeat_by: Micros,
     deadline: Micros,
     /// The final answer is still owed.
     owed: bool,
 }
 
+impl Session {
+    /// Its last attempt has ended; one that may have run binds those that follow.
+    fn ended(&mut self, outcome: Outcome, repeat_windows: &[Option<Micros>]) {
+        self.stage = Stage::Deciding;
+        let window = repeat_windows.get(self.class.0).copied().flatten();
+        if let Some(window) = window.filter(|_| !outcome.never_ran()) {
+            self.repeat_by = self.repeat_by.min(self.sent_at.saturating_add(window));
+        }
+    }
+}
+
 /// What is on a connection from viewers.
 #[derive(Default)]
 struct OnLink {
@@ -94,6 +109,8 @@
     /// says them again, and who takes a session for one at the lowest rung steps it down by wanting it up.
     left: BTreeMap<RequestId, usize>,
     floors: Vec<usize>,
+    /// How long streamers recognise a repeat, for the classes of which they do.
+    repeat_windows: Vec<Option<Micros>>,
     max_attempts: u32,
 }
 
@@ -105,10 +122,15 @@
     Event::Ended { request: session, attempt: number, streamer, outcome, last, report }
 }
 
+fn repeat_window(class: &Class) -> Option<Micros> {
+    (class.effect == Effect::Deduplicated).then_some(class.repeat_window_us)
+}
+
 impl Ledger {
     pub(in crate::director) fn new(settings: &Settings) -> Self {
         Ledger {
             floors: settings.classes.iter().map(|c| c.lowest_rung).collect(),
+            repeat_windows: settings.classes.iter().map(repeat_window).collect(),
             max_attempts: settings.max_attempts,
             ..Ledger::default()
         }
@@ -192,6 +214,7 @@
                 let open = self.links.get(&link).map(|l| l.open.clone()).unwrap_or_default();
                 open.into_iter().for_each(|id| self.viewer_left(link, id, out));
             }
+            Input::Undelivered(id) => self.undelivered(id, out),
             Input::Stands { streamer, session, number, description } => {
                 self.stands(now, streamer, session, number, description, out);
             }
--- a/crates/core/src/director/ledger/streamers.rs
+++ b/crates/core/src/director/ledger/streamers.rs
@@ -42,13 +42,15 @@
         out.counters.sent += 1;
         out.counters.sent_again += u64::from(number > 0);
         session.attempts += 1;
+        session.sent_at = now;
         session.stage = Stage::Out { streamer, number, since: now };
         let try_for = if try_for_us == 0 { Micros::MAX } else { try_for_us };
         let until = now.saturating_add(try_for).min(session.deadline);
         let attempt = Attempt { session: id, number };
         let (rung, parcel) = (session.rung, Rc::clone(&session.parcel));
         out.deeds.push(Deed::Wake(until, Due::Attempt(attempt)));
-        out.deeds.push(Deed::SetUp { streamer, attempt, rung, until, parcel });
+        let send_by = session.repeat_by;
+        out.deeds.push(Deed::SetUp(SetUp { streamer, attempt, rung, until, send_by, parcel }));
     }
 
     pub(super) fn attempt_due(&mut self, attempt: Attempt, out: &mut Outbox) {
@@ -120,7 +122,7 @@
                 if streamer == from && number == Some(n) =>
             {
                 let last = !session.owed;
-                session.stage = Stage::Deciding;
+                session.ended(outcome, &self.repeat_windows);
                 if last {
                     self.sessions.remove(&id);
                 }
@@ -140,8 +142,11 @@
                 None => return,
             },
             // A give-up that found the attempt unsent proves that it never ran.
+            // One that its viewer left says nothing of the streamer.
             Stage::GivingUp { streamer, number, outcome } => {
-                (streamer, number, how.filter(|h| h.never_ran()).unwrap_or(outcome))
+                let unsent = how.filter(|h| h.never_ran());
+                let left = outcome == Outcome::Canceled;
+                (streamer, number, unsent.map_or(outcome, |how| if left { Outcome::Ignored } else { how }))
             }
             Stage::Deciding | Stage::Standing { .. } => return,
         };
@@ -149,7 +154,7 @@
             return;
         }
         let last = !session.owed;
-        session.stage = Stage::Deciding;
+        session.ended(outcome, &self.repeat_windows);
         if last {
             self.sessions.remove(&id);
         }
--- a/crates/core/src/director/ledger/viewers.rs
+++ b/crates/core/src/director/ledger/viewers.rs
@@ -23,7 +23,9 @@
         let rung = self.floors.get(request.class.0).copied().unwrap_or(0);
         let stage = Stage::Deciding;
         let class = request.class;
-        let session = Session { link, class, parcel, stage, rung, attempts: 0, deadline, owed: true };
+        let (attempts, sent_at, repeat_by, owed) = (0, 0, Micros::MAX, true);
+        let session =
+            Session { link, class, parcel, stage, rung, attempts, sent_at, repeat_by, deadline, owed };
         self.sessions.insert(id, session);
         self.on(link, |l| {
             l.open.insert(id);
@@ -79,7 +81,9 @@
         let stage = Stage::Standing { streamer, since: now };
         let parcel = Rc::default();
         let class = request.class;
-        let session = Session { link, class, parcel, stage, rung, attempts: 0, deadline: 0, owed: false };
+        let (attempts, sent_at, repeat_by, deadline, owed) = (0, 0, Micros::MAX, 0, false);
+        let session =
+            Session { link, class, parcel, stage, rung, attempts, sent_at, repeat_by, deadline, owed };
         self.sessions.insert(id, session);
         self.standing_at.entry(streamer).or_default().insert(id);
         self.on(link, |l| l.standing += 1);
@@ -109,6 +113,14 @@
         }
     }
 
+    /// The viewer will never hear that its session stands, and so will not end it: it is ended from here.
+    pub(super) fn undelivered(&mut self, id: RequestId, out: &mut Outbox) {
+        let Some(Stage::Standing { streamer, .. }) = self.sessions.get(&id).map(|s| s.stage) else { return };
+        out.counters.undelivered += 1;
+        out.deeds.push(Deed::Drop(streamer, id));
+        self.over(id, streamer, Outcome::Canceled, LoadReport::default(), out);
+    }
+
     /// Nothing is owed for this request any more: an attempt that is out is given up.
     pub(super) fn abandon(&mut self, id: RequestId, out: &mut Outbox) {
         let Some(session) = self.sessions.get_mut(&id) else { return };
--- a/crates/core/src/director/messages.rs
+++ b/crates/core/src/director/messages.rs
@@ -95,6 +95,8 @@
     ViewerLeft(ViewerLink, RequestId),
     /// A connection from viewers is gone.
     LinkLost(ViewerLink),
+    /// The answer that this session stands could not be passed on whole: its viewer's connection is gone.
+    Undelivered(RequestId),
     /// A streamer answered that the session stands.
     Stands {
         /// Which streamer.
@@ -181,6 +183,24 @@
     Due(Due),
 }
 
+/// A set-up that is passed on to a streamer.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SetUp {
+    /// Which streamer.
+    pub streamer: StreamerId,
+    /// Which attempt.
+    pub attempt: Attempt,
+    /// The rung to start at.
+    pub rung: usize,
+    /// Until when the director waits.
+    pub until: Micros,
+    /// Its first byte must have left by then, or it is not sent at all: later the streamers may no longer
+    /// recognise it as a repeat of an earlier attempt. [`Micros::MAX`] where nothing can be repeated.
+    pub send_by: Micros,
+    /// What is passed on.
+    pub parcel: Rc<Parcel>,
+}
+
 /// What the ledger wants done, in order.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Deed {
@@ -197,18 +217,7 @@
     /// Tell the viewer to come again.
     MoveOff(ViewerLink, RequestId),
     /// Pass the set-up on to a streamer.
-    SetUp {
-        /// Which streamer.
-        streamer: StreamerId,
-        /// Which attempt.
-        attempt: Attempt,
-        /// The rung to start at.
-        rung: usize,
-        /// Until when the director waits.
-        until: Micros,
-        /// What is passed on.
-        parcel: Rc<Parcel>,
-    },
+    SetUp(SetUp),
     /// Give an attempt up; [`Input::GaveUp`] or [`Input::Unsent`] tells when that is done.
     GiveUp(StreamerId, Attempt),
     /// Release a session at a streamer.
--- a/crates/core/src/interface.rs
+++ b/crates/core/src/interface.rs
@@ -97,17 +97,6 @@
     pub quota_per_s: f64,
 }
 
-/// The ration of attempts past a request's first.
-#[derive(Clone, Copy, Debug)]
-pub struct AttemptBudget {
-    /// Allowed however light the traffic.
-    pub free: f64,
-    /// Allowed in addition for each request taken in the span.
-    pub per_request: f64,
-    /// The span.
-    pub span_us: Micros,
-}
-
 /// Where load reports come from.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum ReportMode {
@@ -178,7 +167,7 @@
     /// How long a controller may go without asking.
     pub ask_within_us: Micros,
     /// The ration of further attempts, where one is stated.
-    pub attempt_budget: Option<AttemptBudget>,
+    pub attempt_budget: Option<crate::AttemptBudget>,
     /// This controller's zone.
     pub my_zone: ZoneId,
     /// Points taken off for a session that crosses zones, as a part of its worth.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -43,6 +43,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod budget;
 pub mod director;
 pub mod interface;
 mod limited;
@@ -51,6 +52,7 @@
 pub mod settings;
 mod window;
 
+pub use budget::AttemptBudget;
 pub use interface::*;
 pub use limits::{Limits, Terms};
 pub use rules::{Controller, erlang_payoff, split_slots};
--- a/crates/core/src/rules/health.rs
+++ b/crates/core/src/rules/health.rs
@@ -126,9 +126,9 @@
     /// Rule 6: attempts past the first stay within the ration, where one is stated.
     fn budget_allows(&mut self) -> bool {
         let Some(budget) = self.set.attempt_budget else { return true };
-        let since = self.now.saturating_sub(budget.span_us);
-        self.resent.retain(|at| *at >= since);
-        self.taken.retain(|at| *at > since);
+        let (attempts_since, requests_since) = budget.counts_since(self.now);
+        self.resent.retain(|at| *at >= attempts_since);
+        self.taken.retain(|at| *at > requests_since);
         self.resent.len() as f64 + 1.0 <= budget.free + budget.per_request * self.taken.len() as f64
     }
 
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -39,7 +39,7 @@
 }
 
 /// The settings as they come.
-#[derive(Deserialize)]
+#[derive(Clone, PartialEq, Deserialize)]
 pub struct Info {
     me: u32,
     peers_total: u32,
@@ -68,7 +68,7 @@
     }
 }
 
-#[derive(Deserialize)]
+#[derive(Clone, PartialEq, Deserialize)]
 struct Lane {
     name: String,
     importance: f64,
@@ -79,13 +79,13 @@
     repeat_window_us: Option<f64>,
 }
 
-#[derive(Deserialize)]
+#[derive(Clone, PartialEq, Deserialize)]
 struct Account {
     name: String,
     quota_per_s: f64,
 }
 
-#[derive(Deserialize)]
+#[derive(Clone, PartialEq, Deserialize)]
 struct Family {
     cells: u32,
     racks: u32,
@@ -109,7 +109,7 @@
     switch_s: f64,
 }
 
-#[derive(Deserialize)]
+#[derive(Clone, PartialEq, Deserialize)]
 struct Bounds {
     max_attempts: u32,
     dial_timeout_us: Option<f64>,
@@ -122,7 +122,7 @@
     retry_after: bool,
 }
 
-#[derive(Deserialize)]
+#[derive(Clone, PartialEq, Deserialize)]
 struct Rules {
     cold_from: f64,
     ramp_time_us: f64,
@@ -133,7 +133,7 @@
     budget_span_us: Option<f64>,
 }
 
-#[derive(Deserialize)]
+#[derive(Clone, PartialEq, Deserialize)]
 struct Report {
     how: String,
 }
@@ -254,10 +254,11 @@
         fall_multiple: rules.fall_multiple,
         discovery_on_request: info.membership_mode == "on_request",
         ask_within_us: whole(rules.ask_within_us),
-        attempt_budget: rules.budget_span_us.map(|span| AttemptBudget {
+        attempt_budget: rules.budget_span_us.map(|span| crate::AttemptBudget {
             free: rules.free_resends.unwrap_or(0.0),
             per_request: rules.extra_per_request.unwrap_or(0.0),
             span_us: whole(Some(span)),
+            delay_us: Carriage::of(info).dial_timeout_us,
         }),
         my_zone: ZoneId(zones.id(&info.my_zone)),
         cross_zone_price: info.price("cross_zone"),
--- a/crates/core/src/settings/vocabulary.rs
+++ b/crates/core/src/settings/vocabulary.rs
@@ -77,6 +77,18 @@
         Ok((settings, vocabulary, Carriage::of(info)))
     }
 
+    /// The first kind of names in which the settings of another vocabulary differ from this one's; `None`
+    /// where both are of one deployment.
+    pub fn differs_in(&self, other: &Vocabulary) -> Option<&'static str> {
+        let lists = [
+            ("classes", &self.classes, &other.classes),
+            ("tenants", &self.tenants, &other.tenants),
+            ("zones", &self.halls, &other.halls),
+            ("kinds of streamers", &self.kinds, &other.kinds),
+        ];
+        lists.into_iter().find(|(_, own, others)| own != others).map(|(what, ..)| what)
+    }
+
     /// The names of all classes.
     pub fn classes(&self) -> &[String] {
         &self.classes
--- a/crates/model/src/run/between.rs
+++ b/crates/model/src/run/between.rs
@@ -57,7 +57,7 @@
                     self.again(call.viewer, 0);
                 }
             }
-            Deed::SetUp { streamer, attempt, rung, .. } => {
+            Deed::SetUp(stonewharf_core::director::SetUp { streamer, attempt, rung, .. }) => {
                 self.sent(node, streamer.0 as usize, attempt, rung);
             }
             Deed::GiveUp(_, attempt) => {
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -7,7 +7,7 @@
 mod release;
 
 use crate::net::logging::{self, Format};
-use crate::net::{Node, NodeError, operator};
+use crate::net::{Node, NodeError, Signals, operator};
 use crate::platform::config::Config;
 use crate::settings::Vocabulary;
 use clap::{Args, CommandFactory, Parser, Subcommand, ValueEnum};
@@ -186,10 +186,12 @@
 }
 
 fn serve(args: &Serve) -> ExitCode {
+    // Before anything else: a signal that came earlier would end the process as if it had crashed.
+    let signals = Signals::take();
     let (log, guard) = logging::to_stderr(args.log_level.into(), args.log_format);
     let served = config(args.files.config.as_deref()).and_then(|config| {
         let log = log.new(slog::o!("director" => config.name.clone()));
-        let mut node = Node::with_operator(&config, args.files.operator.as_deref(), log)?;
+        let mut node = Node::with_signals(&config, args.files.operator.as_deref(), signals?, log)?;
         node.trace(matches!(args.log_level, Level::Trace));
         node.run()
     });
--- a/src/net/begin.rs
+++ b/src/net/begin.rs
@@ -98,6 +98,17 @@
 
     /// A director as configured, with the operator file that sets our own subsystems.
     pub fn with_operator(config: &Config, file: Option<&Path>, log: Logger) -> Result<Self, NodeError> {
+        Node::with_signals(config, file, Signals::take()?, log)
+    }
+
+    /// The same with signals that were taken before the files were read: one that comes in the middle of a
+    /// start is followed as soon as the director serves.
+    pub fn with_signals(
+        config: &Config,
+        file: Option<&Path>,
+        signals: Signals,
+        log: Logger,
+    ) -> Result<Self, NodeError> {
         let clock = Clock::start();
         let now = clock.now();
         let (settings, mut names, carriage) = Vocabulary::read(&config.settings)?;
@@ -136,7 +147,6 @@
             director = director.limited(Box::new(halls.clone()));
         }
         let poll = Poll::new()?;
-        let signals = Signals::take()?;
         let (deadlines, inputs, heard) = Default::default();
         let mut shared = Shared { poll, deadlines, inputs, heard, counters, log, now, leave: None };
         let mut folder = None;
@@ -199,12 +209,15 @@
             parts: Parts { viewers, streamers, bulletin, door, peers },
             agreed,
             file: config.file().map(Path::to_owned),
+            name: config.name.clone(),
+            info: config.settings.clone(),
             operator,
             told_to_end: false,
             duty,
             figures,
             estate: config.shared_folder().map(|folder| estate::place(folder, &config.name)),
             inherited: false,
+            closed: false,
             done: false,
             tracing: false,
         };
--- a/src/net/bulletin.rs
+++ b/src/net/bulletin.rs
@@ -19,6 +19,15 @@
 /// The longest line: a whole list of a large fleet.
 const LINE_MOST: usize = 64 * MESSAGE_MAX;
 
+/// Why a line ends the connection that it came on.
+#[derive(Debug, thiserror::Error)]
+enum LineError {
+    #[error("events were left out; they are asked for again")]
+    Gap,
+    #[error("{0}; it is asked for again")]
+    Unreadable(bulletin::BulletinError),
+}
+
 /// The bulletin as this director follows it.
 pub struct Bulletin {
     address: SocketAddr,
@@ -101,30 +110,13 @@
         let got = line.read();
         let (lines, endless) = line.take(whole_line);
         if !lines.is_empty() {
-            self.back_off = BACK_OFF_US;
             self.expect(shared, SILENT_US);
         }
         let mut news = Vec::new();
         for text in lines.iter().filter(|l| !l.is_empty()) {
-            match bulletin::read(text) {
-                Ok(bulletin::Line::Last(last)) if last > self.last => {
-                    self.broke(shared, "events were left out");
-                    return news;
-                }
-                Ok(bulletin::Line::Last(_)) => {}
-                Ok(bulletin::Line::Notice(notice)) if notice.no <= self.last => {
-                    debug!(shared.log, "an event came twice"; "no" => notice.no);
-                }
-                Ok(bulletin::Line::Notice(notice)) if notice.no > self.last + 1 => {
-                    self.broke(shared, "events were left out");
-                    return news;
-                }
-                Ok(bulletin::Line::Notice(notice)) => {
-                    self.last = notice.no;
-                    news.push(notice);
-                }
+            match self.accept(shared, text) {
+                Ok(notice) => news.extend(notice),
                 Err(why) => {
-                    shared.counters.malformed += 1;
                     self.broke(shared, &why.to_string());
                     return news;
                 }
@@ -143,6 +135,34 @@
     }
 }
 
+impl Bulletin {
+    /// Takes one line: an event that comes next, or nothing where there is none in it. Only what moves on or
+    /// confirms the last number shortens the wait before the next connection: a source that goes on with what
+    /// is of no use is not asked again and again at once.
+    fn accept(&mut self, shared: &mut Shared, text: &[u8]) -> Result<Option<Notice>, LineError> {
+        let notice = match bulletin::read(text) {
+            Ok(bulletin::Line::Last(last)) if last > self.last => return Err(LineError::Gap),
+            Ok(bulletin::Line::Last(_)) => None,
+            Ok(bulletin::Line::Notice(notice)) if notice.no <= self.last => {
+                debug!(shared.log, "an event came twice"; "no" => notice.no);
+                return Ok(None);
+            }
+            // A whole list stands for all events before it.
+            Ok(bulletin::Line::Notice(notice)) if notice.no > self.last + 1 && !notice.is_whole() => {
+                return Err(LineError::Gap);
+            }
+            Ok(bulletin::Line::Notice(notice)) => Some(notice),
+            Err(why) => {
+                shared.counters.malformed += 1;
+                return Err(LineError::Unreadable(why));
+            }
+        };
+        self.last = notice.as_ref().map_or(self.last, |notice| notice.no);
+        self.back_off = BACK_OFF_US;
+        Ok(notice)
+    }
+}
+
 impl Part for Bulletin {
     fn owns(&self, token: Token) -> bool {
         self.line.as_ref().is_some_and(|l| l.token() == token)
--- a/src/net/duty.rs
+++ b/src/net/duty.rs
@@ -4,9 +4,14 @@
 use super::shared::Due;
 use super::{Node, estate};
 use crate::director::{Close, Input, Leave};
+use crate::interface::Micros;
 use crate::platform::door::Call;
 use slog::{info, warn};
 
+/// How long the process stays at its end for messages that could not be written at once. A platform that
+/// wants it gone sooner kills it.
+const LAST_WRITES_US: Micros = 1_000_000;
+
 impl Node {
     /// Answers a call at the operators' door.
     pub(super) fn called(&mut self, token: Token, call: Call) {
@@ -73,6 +78,9 @@
 
     /// Does what the duty asks about the viewers' connections, and looks again while it may change.
     pub(super) fn send_away(&mut self) {
+        if self.closed {
+            return;
+        }
         let Leave { close, hurry } = self.duty.leave(self.shared.now);
         if hurry {
             warn!(self.shared.log, "what is open is answered now, clients have to go");
@@ -88,8 +96,13 @@
         self.look_at_duty();
     }
 
-    /// The end.
+    /// The end: the core closes all that is open. The process stays while answers and releases are not yet
+    /// written, for a bounded time.
     pub(super) fn quit(&mut self) {
+        if std::mem::replace(&mut self.closed, true) {
+            self.done = true;
+            return;
+        }
         if let Some(place) = &self.estate
             && let Err(why) = estate::leave(place, &self.director.estate())
         {
@@ -98,6 +111,10 @@
         let deeds = self.director.close(self.duty.bequeaths() || self.has_heirs());
         deeds.into_iter().for_each(|deed| self.carry_out(deed));
         self.parts.peers.iter_mut().for_each(|peers| peers.leave(&mut self.shared));
-        self.done = true;
+        self.parts.viewers.shut(&self.shared);
+        if self.parts.viewers.writes() || self.parts.streamers.writes() {
+            info!(self.shared.log, "waits for its last messages to be written");
+        }
+        self.shared.wake(LAST_WRITES_US, Due::Quit);
     }
 }
--- a/src/net/error.rs
+++ b/src/net/error.rs
@@ -35,6 +35,18 @@
     /// The fleet's settings can't be used here.
     #[error("operator file, block fleet: {0}")]
     Fleet(String),
+    /// The configuration is another director's.
+    #[error(
+        "configuration: it is that of director {0:?}, and nothing of it is taken over; \
+         give this director its own"
+    )]
+    OtherDirector(String),
+    /// The configuration is another deployment's.
+    #[error(
+        "configuration: its {0} are those of another deployment, and nothing of it is taken over; \
+         start the director anew to serve that one"
+    )]
+    OtherDeployment(&'static str),
     /// The operator file can't be read.
     #[error("operator file {0}: {1}")]
     OperatorUnread(String, io::Error),
--- a/src/net/hear.rs
+++ b/src/net/hear.rs
@@ -3,7 +3,7 @@
 use super::Node;
 use crate::director::{Input, Parcel, ViewerLink};
 use crate::interface::{Entry, ListScope, RequestId, Standing, StreamerId};
-use crate::platform::bulletin::Notice;
+use crate::platform::bulletin::{Members, Notice};
 use crate::platform::viewer::{self, FromViewer, SetUp};
 use crate::settings::Wanted;
 use slog::{debug, warn};
@@ -88,19 +88,15 @@
 
     pub(super) fn notice(&mut self, notice: &Notice, known: bool) {
         let Some(roster) = &notice.roster else { return };
-        let entries = match roster.entries(&mut self.names) {
-            Ok(entries) => entries,
-            Err(why) => {
-                self.shared.counters.malformed += 1;
-                warn!(self.shared.log, "an event of the bulletin can't be read: {why}"; "no" => notice.no);
-                return;
-            }
-        };
+        let Members { mut entries, errors } = roster.members(&mut self.names);
+        for why in errors {
+            self.shared.counters.malformed += 1;
+            warn!(self.shared.log, "in the list of streamers: {why}"; "no" => notice.no);
+        }
         let scope = match roster.scope() {
             ListScope::Full if known => ListScope::Cached,
             scope => scope,
         };
-        let mut entries = entries;
         if let Some(agreed) = &self.agreed {
             self.listed(&agreed.drains, scope, &mut entries);
         }
--- a/src/net/line.rs
+++ b/src/net/line.rs
@@ -26,6 +26,8 @@
     inbox: Vec<u8>,
     outbox: Vec<u8>,
     written: usize,
+    /// Bytes ever added to what is to be written.
+    put_total: u64,
 }
 
 impl Line {
@@ -60,7 +62,7 @@
 
     fn new(poll: &mut Poll, stream: TcpStream, writable: bool) -> io::Result<Self> {
         let socket = poll.watch(stream, writable)?;
-        Ok(Line { socket, inbox: Vec::new(), outbox: Vec::new(), written: 0 })
+        Ok(Line { socket, inbox: Vec::new(), outbox: Vec::new(), written: 0, put_total: 0 })
     }
 
     /// How the connecting ended.
@@ -143,12 +145,24 @@
     /// Adds bytes to what is to be written.
     pub fn put(&mut self, bytes: &[u8]) {
         self.outbox.extend_from_slice(bytes);
+        self.put_total += bytes.len() as u64;
+    }
+
+    /// Bytes ever added to what is to be written; with [`Line::written_total`] it tells what has left.
+    pub fn put_total(&self) -> u64 {
+        self.put_total
+    }
+
+    /// Bytes that the machine has taken so far.
+    pub fn written_total(&self) -> u64 {
+        self.put_total - self.unwritten() as u64
     }
 
     /// Takes back what was added last, if not a byte of it has been written.
     pub fn take_back(&mut self) -> bool {
         let whole = !self.outbox.is_empty() && self.written == 0;
         if whole {
+            self.put_total -= self.outbox.len() as u64;
             self.outbox.clear();
         }
         whole
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -18,6 +18,7 @@
 mod parts;
 mod peers;
 mod poll;
+mod reload;
 mod shared;
 mod signals;
 mod store;
@@ -26,9 +27,8 @@
 mod viewers;
 
 use crate::director::{Counters, Deed, Director, Duty, Figures, Input, Over};
-use crate::platform::config::{Config, ConfigError};
 use crate::platform::{rtsp, viewer};
-use crate::settings::{Carriage, Vocabulary};
+use crate::settings::{Carriage, Info, Vocabulary};
 use agreed::Agreed;
 pub use agreed::{LogSeen, Request, Told};
 pub use begin::{digest, operator};
@@ -37,8 +37,9 @@
 use part::Ready;
 use parts::Parts;
 use shared::{Due, Heard, Shared};
-use signals::{Asked, Signals};
-use slog::{info, trace, warn};
+use signals::Asked;
+pub use signals::Signals;
+use slog::{info, trace};
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -59,7 +60,10 @@
     parts: Parts,
     /// What the fleet agrees on, where it does.
     agreed: Option<Agreed>,
+    /// The configuration's file, where it came from one, and what is in force of it.
     file: Option<PathBuf>,
+    name: String,
+    info: Info,
     /// The operator file and what it set, where one is used.
     operator: Option<(PathBuf, SharedHalls)>,
     told_to_end: bool,
@@ -69,6 +73,8 @@
     estate: Option<PathBuf>,
     /// What the one before left has been taken over.
     inherited: bool,
+    /// The core has come to its end; only what is still to be written holds the process.
+    closed: bool,
     done: bool,
     /// Whether every input and deed is logged, at the level `trace`.
     tracing: bool,
@@ -105,7 +111,8 @@
     pub fn turn(&mut self, most: Option<Duration>) -> Result<(), NodeError> {
         let next = self.shared.deadlines.next();
         let until = next.map(|at| Duration::from_micros(at.saturating_sub(self.clock.now())));
-        let left_over = (!self.shared.inputs.is_empty()).then_some(Duration::ZERO);
+        let heard = !self.shared.inputs.is_empty() || !self.shared.heard.is_empty();
+        let left_over = heard.then_some(Duration::ZERO);
         let wait = [most, until, left_over, Some(signals::NOTICE)].into_iter().flatten().min();
         let ready = self.shared.poll.wait(wait)?;
         self.shared.now = self.clock.now();
@@ -119,10 +126,17 @@
             self.due(due);
         }
         for _ in 0..ROUNDS {
+            self.take_in();
+            if self.shared.inputs.is_empty() {
+                self.parts.streamers.flush(&mut self.shared);
+            }
             if self.shared.inputs.is_empty() {
                 break;
             }
             let mut inputs = std::mem::take(&mut self.shared.inputs);
+            if self.closed {
+                continue; // nothing new is begun
+            }
             self.estate_inputs(&mut inputs);
             for input in inputs.iter().filter(|_| self.tracing).filter_map(trace::input) {
                 trace!(self.shared.log, "in"; "input" => input);
@@ -134,6 +148,7 @@
             self.estate_words();
             deeds.into_iter().for_each(|deed| self.carry_out(deed));
         }
+        self.parts.streamers.flush(&mut self.shared);
         self.parts.turned(&mut self.shared);
         if let (Some(agreed), Some(peers)) = (&mut self.agreed, &mut self.parts.peers)
             && agreed.turned(&mut self.shared, peers).is_some()
@@ -141,6 +156,9 @@
             self.leave();
         }
         self.estate_deeds();
+        if self.closed && !self.parts.viewers.writes() && !self.parts.streamers.writes() {
+            self.done = true;
+        }
         Ok(())
     }
 
@@ -176,35 +194,6 @@
         self.leave();
     }
 
-    /// Reads the configuration again and takes over what can change under way: where the bulletin is. One
-    /// that could not be started with changes nothing.
-    fn reload(&mut self) {
-        let read = || {
-            let config = Config::from_file(self.file.as_deref().ok_or(ConfigError::Unnamed)?)?;
-            let (settings, names, _) = Vocabulary::read(&config.settings)?;
-            Director::new(settings, config.seed()?, self.shared.now)?;
-            let own = self.operator.as_ref().map(|(file, _)| operator(file, Some(&names))).transpose()?;
-            Ok::<_, NodeError>((config, own))
-        };
-        match read() {
-            Ok((config, own)) => {
-                self.shared.counters.reloads += 1;
-                if let (Some(own), Some((_, halls))) = (own, &self.operator) {
-                    let budgets = own.out.clone().unwrap_or_default();
-                    self.agreed.iter_mut().for_each(|agreed| agreed.budgets(budgets.clone()));
-                    let digest = digest(&own);
-                    self.parts.peers.iter_mut().for_each(|peers| peers.digest(self.shared.now, digest));
-                    let (classes, zones) = (self.names.classes().to_vec(), &mut self.names);
-                    let class = |name: &str| classes.iter().position(|c| c == name);
-                    halls.0.borrow_mut().configure(begin::halls_of(own), class, |name| zones.zone(name));
-                }
-                info!(self.shared.log, "the configuration was read again");
-                self.parts.bulletin.follow(&mut self.shared, config.bulletin);
-            }
-            Err(why) => warn!(self.shared.log, "the old configuration stays: {why}"),
-        }
-    }
-
     fn due(&mut self, due: Due) {
         match due {
             Due::Agreed => {} // looked at as the turn ends
@@ -219,8 +208,11 @@
         let shared = &mut self.shared;
         match deed {
             Deed::Answer(link, id, description) => match viewer::answer(id, &description) {
-                Some(bytes) => self.parts.viewers.stands(shared, link, &bytes),
-                None => self.parts.viewers.say(shared, link, &viewer::release(id, viewer::CAUSE_FAILED)),
+                Some(bytes) => self.parts.viewers.stands(shared, link, id, &bytes),
+                None => {
+                    self.parts.viewers.say(shared, link, &viewer::release(id, viewer::CAUSE_FAILED));
+                    shared.inputs.push(Input::Undelivered(id));
+                }
             },
             Deed::Refuse(link, id, hold_off_us) => {
                 self.parts.viewers.say(shared, link, &viewer::refusal(id, hold_off_us / 1000));
@@ -234,9 +226,7 @@
                 self.parts.viewers.release(shared, link, viewer::release(id, cause));
             }
             Deed::MoveOff(link, id) => self.parts.viewers.release(shared, link, viewer::move_off(id)),
-            Deed::SetUp { streamer, attempt, rung, until, parcel } => {
-                self.parts.streamers.set_up(shared, streamer, attempt, rung, until, parcel);
-            }
+            Deed::SetUp(set_up) => self.parts.streamers.set_up(shared, set_up),
             Deed::GiveUp(streamer, attempt) => self.parts.streamers.give_up(shared, streamer, attempt),
             Deed::Drop(streamer, id) => {
                 self.parts.streamers.word(shared, streamer, rtsp::release(id), Some(id))
--- a/src/net/streamers/exchange.rs
+++ b/src/net/streamers/exchange.rs
@@ -9,6 +9,7 @@
 use crate::interface::{LoadReport, Outcome, Standing};
 use crate::platform::rtsp;
 use slog::{debug, warn};
+use std::io;
 
 impl Streamers {
     /// Reads and writes a connection that is ready.
@@ -30,15 +31,38 @@
                 let words = pool.unsaid.drain(..).map(|kept| Saying::Word(kept.1, kept.2));
                 words.for_each(|word| link.queue.push_back(word));
             }
-            self.pump(shared, token);
-        } else if writable {
-            self.pump(shared, token);
+        }
+        if writable {
+            self.writable.insert(token);
         }
         if readable {
             self.read(shared, token);
         }
     }
 
+    /// Writes to the connections that became ready for it, once the core has heard all that came in the same
+    /// turn: a set-up that waited for its connection does not go out when its viewer's close or the drain of
+    /// its streamer has come meanwhile.
+    pub fn flush(&mut self, shared: &mut Shared) {
+        for token in std::mem::take(&mut self.writable) {
+            self.pump(shared, token);
+        }
+    }
+
+    /// Whether something is still to be written on a connection that is up.
+    pub fn writes(&self) -> bool {
+        self.links.values().any(|l| l.up && (l.line.unwritten() > 0 || !l.queue.is_empty()))
+    }
+
+    /// A connection that can't be written to any more. What came on it before is still heard: an answer may
+    /// be among it.
+    fn broke(&mut self, shared: &mut Shared, token: Token, why: &io::Error) {
+        let streamer = self.links.get(&token).map(|l| l.streamer.0);
+        debug!(shared.log, "connection broke: {why}"; "streamer" => streamer);
+        self.read(shared, token);
+        self.down(shared, token);
+    }
+
     pub(super) fn read(&mut self, shared: &mut Shared, token: Token) {
         let Some(link) = self.links.get_mut(&token) else { return };
         let got = link.line.read();
@@ -75,21 +99,21 @@
             match link.line.write() {
                 Ok(true) => {}
                 Ok(false) => return,
-                Err(why) => {
-                    debug!(shared.log, "connection broke: {why}"; "streamer" => link.streamer.0);
-                    return self.down(shared, token);
-                }
+                Err(why) => return self.broke(shared, token, &why),
             }
             match link.writing.take() {
                 Some(Writing::GiveUp(attempt)) => shared.inputs.push(Input::GaveUp(attempt)),
                 Some(Writing::SetUp(_)) => shared.counters.relayed += 1,
-                None => {}
+                Some(Writing::Word(..)) | None => {}
             }
             match link.queue.pop_front() {
                 None => return,
                 // By a leave that ran out meanwhile nothing goes out.
                 Some(Saying::Word(_, Some(session))) if !shared.may_act(session) => {}
-                Some(Saying::Word(bytes, _)) => link.line.put(&bytes),
+                Some(Saying::Word(bytes, acts)) => {
+                    link.line.put(&bytes);
+                    link.writing = Some(Writing::Word(bytes, acts));
+                }
                 // What is another's is not ended from here.
                 Some(Saying::GiveUp(attempt)) if !shared.may_act(attempt.session) => {
                     shared.inputs.push(Input::GaveUp(attempt));
@@ -98,11 +122,12 @@
                     link.line.put(&rtsp::give_up(attempt.session));
                     link.writing = Some(Writing::GiveUp(attempt));
                 }
-                Some(Saying::SetUp { attempt, rung, until, parcel }) => {
+                Some(Saying::SetUp { attempt, rung, until, send_by, parcel }) => {
                     let wait_ms = until.saturating_sub(shared.now) / 1000;
                     let bytes = rtsp::set_up(attempt.session, &parcel, rung, wait_ms);
-                    // The standing is looked at as the bytes go out: the set-up may have waited.
-                    match bytes.filter(|_| up && wait_ms > 0 && shared.may_act(attempt.session)) {
+                    // All of this is looked at as the bytes go out: the set-up may have waited.
+                    let in_time = wait_ms > 0 && shared.now < send_by;
+                    match bytes.filter(|_| up && in_time && shared.may_act(attempt.session)) {
                         Some(bytes) => {
                             link.line.put(&bytes);
                             link.writing = Some(Writing::SetUp(attempt));
@@ -140,6 +165,10 @@
         }
         let Some(pool) = self.pools.get_mut(&streamer) else { return };
         pool.links.remove(&token);
+        // One that was cut in the middle was not understood; a whole one said again does no harm.
+        if let Some(Writing::Word(bytes, acts)) = link.writing {
+            pool.unsaid.push_back((shared.now, bytes, acts));
+        }
         for saying in link.queue {
             match saying {
                 Saying::GiveUp(attempt) => shared.inputs.push(Input::GaveUp(attempt)),
--- a/src/net/streamers/link.rs
+++ b/src/net/streamers/link.rs
@@ -13,6 +13,8 @@
         attempt: Attempt,
         rung: usize,
         until: Micros,
+        /// Its first byte must have left by then.
+        send_by: Micros,
         parcel: Rc<Parcel>,
     },
     GiveUp(Attempt),
@@ -20,10 +22,11 @@
     Word(Vec<u8>, Option<RequestId>),
 }
 
-#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Clone, PartialEq, Eq)]
 pub enum Writing {
     SetUp(Attempt),
     GiveUp(Attempt),
+    Word(Vec<u8>, Option<RequestId>),
 }
 
 /// One connection to a streamer.
--- a/src/net/streamers/mod.rs
+++ b/src/net/streamers/mod.rs
@@ -7,7 +7,7 @@
 use super::part::{Part, Ready};
 use super::poll::Token;
 use super::shared::{Due, Shared};
-use crate::director::{Attempt, Director, Input, Parcel, Unsent};
+use crate::director::{Attempt, Director, Input, SetUp, Unsent};
 use crate::interface::{Entry, ListScope, LoadReport, Micros, Outcome, RequestId, Standing, StreamerId};
 use crate::platform::rtsp;
 use crate::settings::Carriage;
@@ -15,7 +15,6 @@
 use slog::info;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
-use std::rc::Rc;
 
 /// Between looks at the connections.
 const WATCH_US: Micros = 250_000;
@@ -58,6 +57,8 @@
 pub struct Streamers {
     pools: BTreeMap<StreamerId, Pool>,
     links: BTreeMap<Token, Link>,
+    /// Connections that became ready to be written to in this turn.
+    writable: BTreeSet<Token>,
     carriage: Carriage,
     most: usize,
     last_test: u64,
@@ -66,7 +67,8 @@
 impl Streamers {
     /// None yet; so many connections at most.
     pub fn new(carriage: Carriage, most: usize) -> Self {
-        Streamers { pools: BTreeMap::new(), links: BTreeMap::new(), carriage, most, last_test: 0 }
+        let (pools, links, writable) = Default::default();
+        Streamers { pools, links, writable, carriage, most, last_test: 0 }
     }
 
     /// Begins to look after the connections.
@@ -117,7 +119,7 @@
         for token in links {
             let Some(link) = self.links.get_mut(&token) else { continue };
             let mut back = Vec::new();
-            if let Some(Writing::SetUp(attempt)) = link.writing
+            if let Some(Writing::SetUp(attempt)) = link.writing.clone()
                 && link.take_back(attempt)
             {
                 back.push(attempt);
@@ -142,15 +144,8 @@
     }
 
     /// Passes a set-up on.
-    pub fn set_up(
-        &mut self,
-        shared: &mut Shared,
-        streamer: StreamerId,
-        attempt: Attempt,
-        rung: usize,
-        until: Micros,
-        parcel: Rc<Parcel>,
-    ) {
+    pub fn set_up(&mut self, shared: &mut Shared, set_up: SetUp) {
+        let SetUp { streamer, attempt, rung, until, send_by, parcel } = set_up;
         let session = attempt.session;
         let token = match self.link_for(shared, streamer, Some(session)) {
             Ok(token) => token,
@@ -159,7 +154,7 @@
         if let Some(link) = self.links.get_mut(&token) {
             (link.used_at, link.carried) = (shared.now, true);
             link.open.insert(session, (attempt.number, false));
-            link.queue.push_back(Saying::SetUp { attempt, rung, until, parcel });
+            link.queue.push_back(Saying::SetUp { attempt, rung, until, send_by, parcel });
         }
         self.pump(shared, token);
     }
--- a/src/net/streamers/ways.rs
+++ b/src/net/streamers/ways.rs
@@ -49,7 +49,10 @@
     /// Begins a new connection. What only this machine lacks for it says nothing of the streamer.
     pub(super) fn dial(&mut self, shared: &mut Shared, streamer: StreamerId) -> Result<Token, Unsent> {
         if self.links.len() >= self.most {
-            let unused = |l: &&Link| l.up && l.open.is_empty() && l.tests.is_empty() && l.queue.is_empty();
+            let unused = |l: &&Link| {
+                let waits = !l.queue.is_empty() || l.line.unwritten() > 0;
+                l.up && l.open.is_empty() && l.tests.is_empty() && !waits
+            };
             let oldest = self.links.values().filter(unused).min_by_key(|l| l.used_at);
             let oldest = oldest.map(|l| l.line.token()).ok_or(Unsent::Withdrawn)?;
             self.down(shared, oldest);
--- a/src/net/trace.rs
+++ b/src/net/trace.rs
@@ -1,7 +1,7 @@
 //! Lines of the level `trace`: every input to the core and every deed out of it, in a brief form that keeps
 //! the ids and figures and leaves the descriptions out (their bytes made a line ten times as long, and a
 //! day's trace heavy enough to change the timing it was to show). Decides nothing.
-use crate::director::{Deed, Input};
+use crate::director::{Deed, Input, SetUp};
 
 /// An input, briefly; `None` for the list's news and the core's own timers, which are not traced.
 pub fn input(input: &Input) -> Option<String> {
@@ -30,7 +30,7 @@
         Deed::Answer(link, id, description) => {
             format!("Answer {id:?} to {link:?}, {} bytes", description.len())
         }
-        Deed::SetUp { streamer, attempt, rung, until, .. } => {
+        Deed::SetUp(SetUp { streamer, attempt, rung, until, .. }) => {
             format!("SetUp {attempt:?} at {streamer:?}, rung {rung}, until {until}")
         }
         other => format!("{other:?}"),
--- a/src/net/viewers/mod.rs
+++ b/src/net/viewers/mod.rs
@@ -1,13 +1,17 @@
 //! The viewers' side: the listener and the connections that viewers' sessions come in on. A connection that
 //! says nothing, or nothing that can be answered, is closed; a full table makes room.
+mod caller;
+mod sends;
+
 use super::line::{Got, Line};
 use super::part::{Part, Ready};
 use super::poll::{Token, Watched};
 use super::shared::{Due, Heard, Shared};
-use crate::director::{Director, Input, ViewerLink};
-use crate::interface::{Micros, RequestId};
+use crate::director::{Director, ViewerLink};
+use crate::interface::Micros;
 use crate::platform::viewer::{self, FromViewer};
-use slog::{debug, info, warn};
+use caller::Caller;
+use slog::{debug, warn};
 use socket2::{Domain, Protocol, Socket, Type};
 use std::collections::{BTreeMap, VecDeque};
 use std::io;
@@ -16,8 +20,6 @@
 const BACKLOG: i32 = 1024;
 /// Connections taken in one turn at most, so that a crowd does not keep those that are up waiting.
 const ACCEPT_MOST: usize = 128;
-/// A viewers' connection that does not read is closed from so many unwritten bytes.
-const UNWRITTEN_MOST: usize = 128 * 1024;
 /// Pause of the listener when no descriptor is left, or no connection can make room yet.
 const ACCEPT_PAUSE_US: Micros = 20_000;
 /// A connection has so long to bring its first bytes before it may make room for another.
@@ -25,33 +27,12 @@
 /// By then a connection has said something that is answered, or is closed; the same holds for the rest of a
 /// message that has begun.
 const SILENT_US: Micros = 1_500_000;
+/// Connections that are looked at to make room for one, where messages keep coming on them.
+const ROOM_TRIES: usize = 16;
 /// Between further looks at a connection.
 const LOOK_US: Micros = 500_000;
 /// A connection without a session is closed by its viewer after 4 s; held longer it is closed from here.
 const IDLE_US: Micros = 6_000_000;
-/// Set-ups that can't be used after which a connection is closed; one that stands begins the count anew.
-const SPURNED_MOST: u32 = 32;
-/// How long a release waits for a connection from viewers to be sent on.
-const RELEASE_KEPT_US: Micros = 8_000_000;
-const RELEASES_KEPT: usize = 20_000;
-
-/// A connection from viewers.
-struct Caller {
-    line: Line,
-    since: Micros,
-    heard_at: Micros,
-    /// Since when part of a message waits for the rest.
-    partial_since: Option<Micros>,
-    /// It is a viewer's: it brought a set-up, or sessions that play. What ends a session goes out on such
-    /// ones alone, for the front asks on others whether the director takes clients, and reads nothing else.
-    viewer: bool,
-    /// Something was said on it, or it brought sessions that play.
-    answered: bool,
-    /// A session of it has stood.
-    stood: bool,
-    spurned: u32,
-}
-
 /// Listens on an address.
 pub fn listen(at: SocketAddr) -> io::Result<TcpListener> {
     let socket = Socket::new(Domain::for_address(at), Type::STREAM, Some(Protocol::TCP))?;
@@ -121,29 +102,37 @@
 
     fn take(&mut self, shared: &mut Shared, line: Line) {
         shared.counters.viewer_connections += 1;
-        let (token, now) = (line.token(), shared.now);
-        let caller = Caller {
-            line,
-            since: now,
-            heard_at: now,
-            partial_since: None,
-            viewer: false,
-            answered: false,
-            stood: false,
-            spurned: 0,
-        };
-        self.callers.insert(token, caller);
+        let token = line.token();
+        self.callers.insert(token, Caller::new(line, shared.now));
         shared.wake(SILENT_US, Due::Viewer(token));
     }
 
     /// Closes a connection on which no request waits, if it had its time to bring one: best one on which no
-    /// session ever stood, the longest unheard of first.
+    /// session ever stood, the longest unheard of first. What has come on it meanwhile is heard instead.
     fn make_room(&mut self, shared: &mut Shared, director: &Director) -> bool {
-        let free = |t: &Token| director.on_link(ViewerLink(*t)).0 == 0;
-        let read = |c: &Caller| c.answered || c.since.saturating_add(FIRST_US) <= shared.now;
-        let free = self.callers.iter().filter(|(t, c)| read(c) && free(t));
-        let least = free.min_by_key(|(_, c)| (c.stood, c.heard_at)).map(|(t, _)| *t);
-        least.inspect(|token| self.shed(shared, *token)).is_some()
+        for _ in 0..ROOM_TRIES {
+            let free = |t: &Token| director.on_link(ViewerLink(*t)).0 == 0;
+            let read = |c: &Caller| c.answered || c.since.saturating_add(FIRST_US) <= shared.now;
+            let free = self
+                .callers
+                .iter()
+                .filter(|(t, c)| read(c) && free(t) && !c.broken && c.heard_at < shared.now);
+            let least = free.min_by_key(|(_, c)| (c.stood, c.heard_at)).map(|(t, _)| *t);
+            let Some(token) = least else { return false };
+            if !self.hears_more(shared, token) {
+                self.shed(shared, token);
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Reads what has come on a connection that is about to be closed, and tells whether that was a message
+    /// or its end: then it is not closed from here.
+    fn hears_more(&mut self, shared: &mut Shared, token: Token) -> bool {
+        let heard = shared.heard.len();
+        self.exchange(shared, Ready { token, readable: true, writable: false });
+        shared.heard.len() > heard
     }
 
     fn shed(&mut self, shared: &mut Shared, token: Token) {
@@ -151,12 +140,6 @@
         self.close(shared, token);
     }
 
-    fn close(&mut self, shared: &mut Shared, token: Token) {
-        if self.callers.remove(&token).is_some() {
-            shared.inputs.push(Input::LinkLost(ViewerLink(token)));
-        }
-    }
-
     /// Looks after a connection: closes one that has said nothing in its time, holds a message back, or has
     /// had nothing on it for long.
     fn look(&mut self, shared: &mut Shared, token: Token, director: &Director) {
@@ -166,7 +149,7 @@
         let held_back = caller.partial_since.is_some_and(|since| over(since, SILENT_US));
         let silent = !caller.answered && over(caller.since, SILENT_US);
         let idle = standing == 0 && over(caller.heard_at, IDLE_US);
-        if open == 0 && (silent || held_back || idle) {
+        if open == 0 && (silent || held_back || idle) && !self.hears_more(shared, token) {
             debug!(shared.log, "a silent connection from viewers is closed");
             return self.shed(shared, token);
         }
@@ -204,10 +187,9 @@
         };
         let quiet: Vec<Token> = self.callers.iter().filter_map(quiet).collect();
         for token in quiet {
-            let heard = shared.heard.len();
-            self.exchange(shared, Ready { token, readable: true, writable: false });
+            let more = self.hears_more(shared, token);
             let partial = self.callers.get(&token).is_some_and(|c| c.line.partial());
-            if shared.heard.len() == heard && !partial {
+            if !more && !partial {
                 shared.counters.viewers_sent_away += 1;
                 self.close(shared, token);
             }
@@ -231,9 +213,9 @@
         let Some(caller) = self.callers.get_mut(&token) else { return };
         if writable && let Err(why) = caller.line.write() {
             debug!(shared.log, "a connection from viewers broke: {why}");
-            return shared.heard.push(Heard::Closed(token));
+            caller.broken = true; // what came on it before is still heard
         }
-        if !readable {
+        if !readable && !caller.broken {
             return;
         }
         let got = caller.line.read();
@@ -256,7 +238,8 @@
             debug!(shared.log, "a connection from viewers broke: {why}");
         }
         shared.heard.extend(whole.into_iter().map(|message| Heard::Viewer(ViewerLink(token), message)));
-        if !matches!(got, Ok(Got::Bytes)) {
+        caller.broken |= !matches!(got, Ok(Got::Bytes));
+        if caller.broken {
             shared.heard.push(Heard::Closed(token));
         } else if shown {
             self.deliver_kept(shared);
@@ -267,80 +250,6 @@
     pub fn ended(&mut self, shared: &mut Shared, token: Token) {
         self.close(shared, token);
     }
-
-    /// A connection brought a session that plays already and wants no answer.
-    pub fn brought(&mut self, link: ViewerLink) {
-        if let Some(caller) = self.callers.get_mut(&link.0) {
-            (caller.answered, caller.stood, caller.viewer) = (true, true, true);
-        }
-    }
-
-    /// Sends the answer that a session stands.
-    pub fn stands(&mut self, shared: &mut Shared, link: ViewerLink, bytes: &[u8]) {
-        if let Some(caller) = self.callers.get_mut(&link.0) {
-            (caller.stood, caller.spurned) = (true, 0);
-        }
-        self.say(shared, link, bytes);
-    }
-
-    /// Answers a set-up that can't be used; a connection that goes on with them is closed.
-    pub fn spurn(&mut self, shared: &mut Shared, link: ViewerLink, id: RequestId) {
-        self.say(shared, link, &viewer::release(id, viewer::CAUSE_FAILED));
-        let Some(caller) = self.callers.get_mut(&link.0) else { return };
-        caller.spurned += 1;
-        if caller.spurned >= SPURNED_MOST {
-            info!(shared.log, "nothing on a connection from viewers can be used, closed");
-            self.shed(shared, link.0);
-        }
-    }
-
-    /// Sends a final answer, or another word that matters on its own connection alone.
-    pub fn say(&mut self, shared: &mut Shared, link: ViewerLink, bytes: &[u8]) {
-        let _ = self.say_on(shared, link.0, bytes);
-    }
-
-    /// Sends what ends a session: on its own connection, else on any, else on the next that comes.
-    pub fn release(&mut self, shared: &mut Shared, link: ViewerLink, bytes: Vec<u8>) {
-        if !self.ending.contains(&link.0) && self.say_on(shared, link.0, &bytes) {
-            return;
-        }
-        // Only on those that are known for viewers': one that has brought nothing yet may be the front's.
-        let others = self.callers.iter().filter(|(t, c)| c.viewer && !self.ending.contains(t));
-        let mut others: Vec<_> = others.map(|(t, c)| (c.stood, c.heard_at, *t)).collect();
-        others.sort_unstable_by(|a, b| b.cmp(a));
-        if others.into_iter().any(|other| self.say_on(shared, other.2, &bytes)) {
-            return;
-        }
-        if self.kept.len() < RELEASES_KEPT {
-            self.kept.push_back((shared.now, bytes));
-        }
-    }
-
-    fn say_on(&mut self, shared: &mut Shared, token: Token, bytes: &[u8]) -> bool {
-        let Some(caller) = self.callers.get_mut(&token) else { return false };
-        caller.answered = true;
-        caller.line.put(bytes);
-        let written = caller.line.write();
-        let overfull = caller.line.unwritten() > UNWRITTEN_MOST;
-        match written {
-            Ok(_) if !overfull => return true,
-            Ok(_) => {
-                shared.counters.overfull += 1;
-                warn!(shared.log, "viewers do not read, connection closed");
-            }
-            Err(why) => debug!(shared.log, "a connection from viewers broke: {why}"),
-        }
-        self.close(shared, token);
-        false
-    }
-
-    fn deliver_kept(&mut self, shared: &mut Shared) {
-        for (since, bytes) in std::mem::take(&mut self.kept) {
-            if since.saturating_add(RELEASE_KEPT_US) > shared.now {
-                self.release(shared, ViewerLink(0), bytes);
-            }
-        }
-    }
 }
 
 impl Part for Viewers {
--- a/src/platform/bulletin.rs
+++ b/src/platform/bulletin.rs
@@ -10,12 +10,36 @@
     /// Not JSON of the right form.
     #[error("bad line: {0}")]
     Json(#[from] serde_json::Error),
-    /// An address that is none.
-    #[error("bad address {0:?}")]
-    Address(String),
-    /// A state outside the vocabulary.
-    #[error("unknown state {0:?}")]
-    State(String),
+}
+
+/// A streamer of the list that can't be used as the list states it.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum MemberError {
+    /// An address that is none: the streamer is left out.
+    #[error("streamer {id:?} has a bad address {address:?} and is left out; correct it in the list")]
+    Address {
+        /// The streamer.
+        id: String,
+        /// What stands there.
+        address: String,
+    },
+    /// A state outside the vocabulary: the streamer gets no new sessions.
+    #[error("streamer {id:?} has an unknown state {state:?} and gets no set-ups; correct it in the list")]
+    State {
+        /// The streamer.
+        id: String,
+        /// What stands there.
+        state: String,
+    },
+}
+
+/// The entries of an event that can be used, and what is wrong with others.
+#[derive(Debug, Default)]
+pub struct Members {
+    /// The entries, in the module's terms, with the streamers' addresses.
+    pub entries: Vec<(Entry, SocketAddr)>,
+    /// What can't be used as it stands.
+    pub errors: Vec<MemberError>,
 }
 
 /// An event of the bulletin.
@@ -73,29 +97,44 @@
     }
 }
 
+impl Notice {
+    /// Whether it holds the whole list, so that events before it need not be known.
+    pub fn is_whole(&self) -> bool {
+        self.roster.as_ref().is_some_and(|roster| roster.complete)
+    }
+}
+
 impl Roster {
     /// How the module is to take it: the whole list, or what changed.
     pub fn scope(&self) -> ListScope {
         if self.complete { ListScope::Full } else { ListScope::Delta }
     }
 
-    /// Its entries, in the module's terms, with the streamers' addresses.
-    pub fn entries(&self, names: &mut Vocabulary) -> Result<Vec<(Entry, SocketAddr)>, BulletinError> {
-        let mut entries = Vec::new();
+    /// Its entries. One that can't be used takes none of the others along.
+    pub fn members(&self, names: &mut Vocabulary) -> Members {
+        let mut members = Members::default();
         for m in &self.members {
+            let Ok(address) = m.host_port.parse() else {
+                let (id, address) = (m.id.clone(), m.host_port.clone());
+                members.errors.push(MemberError::Address { id, address });
+                continue;
+            };
             let standing = match m.phase.as_str() {
                 "in_service" => Standing::Up,
                 "terminating" => Standing::Draining,
                 "terminated" => Standing::Gone,
-                word => return Err(BulletinError::State(word.to_owned())),
+                state => {
+                    let (id, state) = (m.id.clone(), state.to_owned());
+                    members.errors.push(MemberError::State { id, state });
+                    Standing::Draining
+                }
             };
-            let address = m.host_port.parse().map_err(|_| BulletinError::Address(m.host_port.clone()))?;
             let started_at: Micros = m.up_since_ms.saturating_mul(1000);
             let (weight, cell) = (m.size, m.cell);
             let (zone, kind) = (m.locality.as_str(), m.flavor.as_str());
             let listed = Listed { streamer: &m.id, zone, kind, cell, standing, weight, started_at };
-            entries.push((names.entry(&listed), address));
+            members.entries.push((names.entry(&listed), address));
         }
-        Ok(entries)
+        members
     }
 }
--- a/tests/codecs.rs
+++ b/tests/codecs.rs
@@ -225,8 +225,9 @@
     let roster = notice.roster.expect("a roster");
     assert_eq!((notice.no, roster.scope()), (41, ListScope::Delta));
     let mut names = common::names();
-    let entries = roster.entries(&mut names).expect("sound");
-    let (entry, address) = &entries[0];
+    let members = roster.members(&mut names);
+    assert_eq!(members.errors, vec![]);
+    let (entry, address) = &members.entries[0];
     assert_eq!(address.to_string(), "10.1.0.9:2905");
     assert_eq!((entry.cell, entry.standing, entry.weight), (2, Standing::Draining, 4.0));
     assert_eq!(
@@ -236,3 +237,24 @@
     );
     assert!(bulletin::read(b"{\"no\":").is_err());
 }
+
+/// One entry that can't be used used to cost the whole event, with the drains of all others in it.
+#[test]
+fn an_entry_of_no_use_takes_no_other_along() {
+    let member =
+        |id: &str, at: &str, phase: &str| format!(r#"{{"id":"{id}","host_port":"{at}","phase":"{phase}"}}"#);
+    let members = [
+        member("s-1", "nowhere", "in_service"),
+        member("s-2", "10.1.0.9:2905", "asleep"),
+        member("s-3", "10.1.0.8:2905", "terminating"),
+    ];
+    let line = format!(r#"{{"no":2,"roster":{{"members":[{}]}}}}"#, members.join(","));
+    let Ok(bulletin::Line::Notice(notice)) = bulletin::read(line.as_bytes()) else { panic!("not read") };
+    let members = notice.roster.expect("a roster").members(&mut common::names());
+    let standing: Vec<_> = members.entries.iter().map(|(entry, _)| entry.standing).collect();
+    assert_eq!(standing, vec![Standing::Draining; 2], "an unknown state takes no set-ups");
+    assert_eq!(members.errors.len(), 2);
+    for why in members.errors {
+        assert!(why.to_string().contains("correct it in the list"), "says what to do: {why}");
+    }
+}
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -46,7 +46,7 @@
 
 #[test]
 fn a_cold_streamer_is_not_pushed_over_by_all_together() {
-    for controllers in [1, 2, 3, 7, 40] {
+    for controllers in [1, 2, 3, 7, 20, 24, 30, 40] {
         // 40 streams over 10 s of warm-up, half of it at first, twice that at most: 4 in any second.
         let set = Settings { controllers, ..settings(idempotent()) };
         assert_paced(&cold_sends(&set, 20_000, told_cold), 4);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,5 +1,7 @@
 //! Hand-made settings and events for the tests.
 #![allow(dead_code)]
+pub mod ledger;
+
 use stonewharf::*;
 
 pub const S: u64 = 1_000_000;
@@ -205,3 +207,13 @@
     let info = serde_json::from_str(SETTINGS).expect("JSON");
     settings::Vocabulary::read(&info).expect("settings").1
 }
+
+/// Settings under which connections may take long to come up, and streamers take many set-ups.
+pub fn patient() -> String {
+    SETTINGS
+        .replace(r#""dial_timeout_us": 250000"#, r#""dial_timeout_us": 20000000"#)
+        .replace(r#""multiplex": 32"#, r#""multiplex": 4096"#)
+        .replace(r#""kind_streams": [24]"#, r#""kind_streams": [9000]"#)
+        .replace(r#""fleet_kb": 10000.0, "rack_kb": 10000.0"#, r#""fleet_kb": 1e9, "rack_kb": 1e9"#)
+        .replace(r#""weight_kb": 2500.0"#, r#""weight_kb": 1e9"#)
+}
--- /dev/null
+++ b/tests/rig/half_written.rs
@@ -0,0 +1,59 @@
+//! A viewer's connection on which answers wait at the director, since nobody reads them.
+use super::*;
+
+/// Such a connection.
+pub struct HalfWritten {
+    pub viewer: TcpStream,
+    pub streamer: TcpStream,
+    /// How many answers were given on it.
+    pub answers: u64,
+    /// The first session of it.
+    pub first: u64,
+}
+
+/// Brings a connection that nobody reads near the point at which the director would close it.
+pub fn half_written(rig: &Rig) -> HalfWritten {
+    // A first connection tells how many answers the machines keep before too much waits at the director.
+    let mut full = deaf_viewer(rig.at);
+    full.write_all(&set_up(1, "replay")).expect("written");
+    let mut streamer = rig.streamer();
+    read_rtsp(&mut streamer);
+    streamer.write_all(&stands(1, "answer")).expect("written");
+    until("answered", || rig.figure("served") == 1);
+    let most = long_answers(rig, &mut full, &mut streamer, |_| rig.figure("overfull") == 0);
+    for _ in 0..ended_sessions(rig) {
+        assert!(read_rtsp(&mut streamer).starts_with("TEARDOWN"));
+    }
+    let mut viewer = deaf_viewer(rig.at);
+    let first = rig.figure("served") + 1;
+    let answers = long_answers(rig, &mut viewer, &mut streamer, |answers| answers < most - 4);
+    HalfWritten { viewer, streamer, answers, first }
+}
+
+/// Sessions that were ended because their answers had not left.
+fn ended_sessions(rig: &Rig) -> u64 {
+    until("some are", || rig.figure("undelivered") > 0);
+    rig.figure("undelivered")
+}
+
+/// Sets sessions up for a viewer that reads nothing, with long answers, as long as `more` says; tells how many.
+fn long_answers(
+    rig: &Rig,
+    viewer: &mut TcpStream,
+    streamer: &mut TcpStream,
+    more: impl Fn(u64) -> bool,
+) -> u64 {
+    let long = "a".repeat(15_000);
+    let before = rig.figure("served");
+    let mut answers = 0;
+    while more(answers) {
+        answers += 1;
+        assert!(answers < 2_000, "it is never full");
+        let id = before + answers;
+        viewer.write_all(&set_up(id, "replay")).expect("written");
+        read_rtsp(streamer);
+        streamer.write_all(&stands(id, &long)).expect("written");
+        until("answered", || rig.figure("served") == id);
+    }
+    answers
+}
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -1,6 +1,8 @@
 //! A director as a process, with its streamer, its bulletin and its viewers played by hand. Every wait here ends
 //! at something that happens; the time limits are only for what never does.
 #![allow(dead_code)]
+mod half_written;
+
 use crate::common;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -11,6 +13,9 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+#[allow(unused_imports)]
+pub use half_written::{HalfWritten, half_written};
+
 pub const LONG: Duration = Duration::from_secs(30);
 static NEXT: AtomicU64 = AtomicU64::new(1);
 
@@ -46,6 +51,21 @@
     }
 }
 
+/// Looks until something holds; fails where it never does.
+pub fn until(what: &str, holds: impl Fn() -> bool) {
+    let end = std::time::Instant::now() + LONG;
+    while !holds() {
+        assert!(std::time::Instant::now() < end, "never: {what}");
+        std::thread::sleep(Duration::from_millis(2));
+    }
+}
+
+/// Keeps connections to a listener from coming up until the returned one, which fills its queue, is accepted.
+pub fn hold_back(listener: &TcpListener) -> TcpStream {
+    socket2::SockRef::from(listener).listen(0).expect("a queue of one");
+    TcpStream::connect(listener.local_addr().expect("bound")).expect("queued")
+}
+
 pub fn member(id: &str, at: SocketAddr, phase: &str) -> String {
     member_of(id, at, phase, "hall-a", "two-core")
 }
@@ -114,6 +134,26 @@
         stream
     }
 
+    /// Stops the process, and returns once it stands still: all that comes from then on it meets in one turn.
+    pub fn stop(&self) {
+        self.signal("-STOP");
+        let file = format!("/proc/{}/stat", self.child.id());
+        let state = || std::fs::read_to_string(&file).expect("it runs");
+        until("it stands still", || state().rsplit(')').next().is_some_and(|rest| rest.starts_with(" T")));
+    }
+
+    /// Lets a stopped process go on.
+    pub fn go_on(&self) {
+        self.signal("-CONT");
+    }
+
+    /// A figure at the door.
+    pub fn figure(&self, name: &str) -> u64 {
+        let (_, body) = self.call("GET", "/_vars");
+        let of = |line: &str| line.strip_prefix("svc.")?.strip_prefix(name)?.strip_prefix('=')?.parse().ok();
+        body.lines().find_map(of).expect("a figure")
+    }
+
     pub fn signal(&self, name: &str) {
         let sent = Command::new("kill").args([name, &self.child.id().to_string()]).status();
         assert!(sent.expect("sent").success());
@@ -223,6 +263,16 @@
     )
 }
 
+/// A viewer that reads nothing for now, and whose machine keeps little for it.
+pub fn deaf_viewer(at: SocketAddr) -> TcpStream {
+    use socket2::{Domain, Socket, Type};
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    socket.set_recv_buffer_size(4_096).expect("set");
+    socket.connect(&at.into()).expect("taken");
+    socket.set_read_timeout(Some(LONG)).expect("set");
+    socket.into()
+}
+
 /// The next message to a viewer: type, session, parameters.
 pub fn hear(stream: &mut TcpStream) -> (u8, u64, Vec<u8>) {
     let mut length = [0; 2];
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -136,7 +136,7 @@
 
 #[test]
 fn further_attempts_stay_within_the_ration() {
-    let budget = AttemptBudget { free: 2.0, per_request: 0.1, span_us: 10 * S };
+    let budget = AttemptBudget { free: 2.0, per_request: 0.1, span_us: 10 * S, delay_us: 0 };
     let mut b = Bench::new(Settings { attempt_budget: Some(budget), ..settings(idempotent()) });
     let mut resent = 0;
     for id in 1..=20 {
@@ -147,6 +147,24 @@
     assert!((2..=4).contains(&resent), "2 and a tenth of 20, not {resent}");
 }
 
+/// An attempt that waits for its connection goes out later than it was decided: one sent just after the span of
+/// the former ones still met them in the span that is counted as the bytes go out.
+#[test]
+fn a_further_attempt_counts_for_as_long_as_it_may_have_waited() {
+    for (after, allowed) in [(10 * S + S / 5, false), (10 * S + S / 4 + 1, true)] {
+        let budget = AttemptBudget { free: 1.0, per_request: 0.0, span_us: 10 * S, delay_us: S / 4 };
+        let mut b = Bench::new(Settings { attempt_budget: Some(budget), ..settings(idempotent()) });
+        let again = |b: &mut Bench, id| {
+            let at = sent(&b.ask(request(id, 0))).expect("sent");
+            sent(&b.end(id, at, Outcome::QueueFull, false)).is_some()
+        };
+        assert!(again(&mut b, 1), "the first is free");
+        assert!(!again(&mut b, 2), "the second is over the budget");
+        b.now += after;
+        assert_eq!(again(&mut b, 3), allowed, "after {after} us");
+    }
+}
+
 #[test]
 fn a_failing_streamer_is_barred_and_tried_again_later() {
     let mut b = Bench::new(settings(idempotent()));
