--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -158,8 +158,8 @@
         assert_ne!(other, elsewhere);
         std::fs::write(&file, other).expect("written");
         rig.signal("-HUP");
-        let said = next_line(&mut rig.log, "the old configuration stays");
-        assert!(said.contains(line), "{said}");
+        let said = next_line(&mut rig.log, "configuration");
+        assert!(said.contains("the old configuration stays") && said.contains(line), "{said}");
     }
     let mut viewer = rig.viewer();
     viewer.write_all(&set_up(0xf3, "highlight")).expect("written");
