--- a/src/net/viewers/caller.rs
+++ b/src/net/viewers/caller.rs
@@ -54,8 +54,9 @@
         }
     }
 
-    /// Whether it may be closed for another one if no request waits on it: it had its time to bring something,
-    /// what came on it in this turn has been answered, and its viewer is not in the middle of reading.
+    /// Whether it may be closed for another one if no request waits on it: it had its time to bring
+    /// something, what came on it in this turn has been answered, and its viewer is not in the middle of
+    /// reading.
     pub fn may_make_room(&self, now: Micros) -> bool {
         let read = self.answered || self.since.saturating_add(FIRST_US) <= now;
         let reading = self.line.unwritten() > 0 && self.heard_at.saturating_add(IDLE_US) > now;
--- a/tests/signals.rs
+++ b/tests/signals.rs
@@ -8,13 +8,8 @@
 use std::os::unix::process::ExitStatusExt;
 use std::process::{Command, Stdio};
 
-/// A director that is in the middle of reading its configuration when a signal comes, and what it logs.
-struct Starting {
-    rig: Rig,
-}
-
 /// Starts a director on a configuration that comes through a pipe, and sends it a signal before the first byte.
-fn signalled_at_the_start(signal: &str) -> Starting {
+fn signalled_at_the_start(signal: &str) -> Rig {
     let mut rig = Rig::start(); // its configuration is used again, at an address of its own
     let file = rig.folder.join("config.json");
     let text = std::fs::read_to_string(&file).expect("there");
@@ -32,13 +27,13 @@
     writer.write_all(text.as_bytes()).expect("written");
     drop(writer);
     rig.log = BufReader::new(rig.child.stderr.take().expect("piped"));
-    Starting { rig }
+    rig
 }
 
 /// SIGHUP ended a process that had not yet come to handle it, as if it had crashed.
 #[test]
 fn sighup_in_the_middle_of_a_start_is_followed_once_it_serves() {
-    let Starting { mut rig } = signalled_at_the_start("-HUP");
+    let mut rig = signalled_at_the_start("-HUP");
     next_line(&mut rig.log, "serves");
     next_line(&mut rig.log, "the configuration was read again");
 }
@@ -46,7 +41,7 @@
 /// SIGTERM did the same; it is an orderly end, with the grace time before it.
 #[test]
 fn sigterm_in_the_middle_of_a_start_is_an_orderly_end() {
-    let Starting { mut rig } = signalled_at_the_start("-TERM");
+    let mut rig = signalled_at_the_start("-TERM");
     next_line(&mut rig.log, "asked to end");
     next_line(&mut rig.log, "ended");
     let status = rig.child.wait().expect("ended");
