Log why client connections close, and requests and releases that are dropped

Lines only; nothing is decided by them. CloseReason names the six ways by which this side closes a connection.

--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -135,8 +135,10 @@
             }
             let mut inputs = std::mem::take(&mut self.shared.inputs);
             if self.closed {
+                self.log_dropped(&inputs);
                 continue; // nothing new is begun
             }
+            self.log_lost_requests(&inputs);
             self.estate_inputs(&mut inputs);
             for input in inputs.iter().filter(|_| self.tracing).filter_map(trace::input) {
                 trace!(self.shared.log, "in"; "input" => input);
--- a/src/net/trace.rs
+++ b/src/net/trace.rs
@@ -1,7 +1,34 @@
 //! Lines of the level `trace`: every input to the core and every deed out of it, in a brief form that keeps
 //! the ids and figures and leaves the descriptions out (their bytes made a line ten times as long, and a
-//! day's trace heavy enough to change the timing it was to show). Decides nothing.
+//! day's trace heavy enough to change the timing it was to show). Also the lines that name requests which end
+//! without an answer. Decides nothing.
+use super::Node;
 use crate::director::{Deed, Input, SetUp};
+use slog::{debug, warn};
+
+impl Node {
+    /// Names the requests that are thrown away unanswered, since the core has come to its end.
+    pub(super) fn log_dropped(&self, inputs: &[Input]) {
+        for input in inputs {
+            if let Input::Wanted { link, request, .. } = input {
+                warn!(self.shared.log, "a request is dropped at the end"; "at_us" => self.shared.now,
+                    "connection" => link.0, "session" => format!("{:016x}", request.id.0));
+            }
+        }
+    }
+
+    /// Tells of connections that are gone with requests open on them.
+    pub(super) fn log_lost_requests(&self, inputs: &[Input]) {
+        for input in inputs {
+            if let Input::LinkLost(link) = input
+                && let (open @ 1.., _) = self.director.on_link(*link)
+            {
+                debug!(self.shared.log, "requests are given up with their connection";
+                    "at_us" => self.shared.now, "connection" => link.0, "requests" => open);
+            }
+        }
+    }
+}
 
 /// An input, briefly; `None` for the list's news and the core's own timers, which are not traced.
 pub fn input(input: &Input) -> Option<String> {
--- a/src/net/viewers/caller.rs
+++ b/src/net/viewers/caller.rs
@@ -16,6 +16,23 @@
     Release(Vec<u8>),
 }
 
+/// Why a connection from viewers is closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CloseReason {
+    /// Its client has closed it, or it broke.
+    Gone,
+    /// It brought what can't be read.
+    Malformed,
+    /// Nothing on it could be used.
+    Unusable,
+    /// It had said nothing in its time, held a message back, or had nothing on it for long.
+    Silent,
+    /// Another connection needs its place.
+    Room,
+    /// Clients are sent away.
+    Drain,
+}
+
 /// A connection from viewers.
 pub struct Caller {
     pub line: Line,
--- a/src/net/viewers/mod.rs
+++ b/src/net/viewers/mod.rs
@@ -10,7 +10,7 @@
 use crate::director::{Director, ViewerLink};
 use crate::interface::Micros;
 use crate::platform::viewer::{self, FromViewer};
-use caller::{Caller, FIRST_US, IDLE_US};
+use caller::{Caller, CloseReason, FIRST_US, IDLE_US};
 use slog::{debug, warn};
 use socket2::{Domain, Protocol, Socket, Type};
 use std::collections::{BTreeMap, VecDeque};
@@ -114,7 +114,7 @@
             let least = least.min_by_key(|(_, c)| (c.stood, c.heard_at)).map(|(t, _)| *t);
             let Some(token) = least else { return false };
             if !self.hears_more(shared, token) {
-                self.shed(shared, token);
+                self.shed(shared, token, CloseReason::Room);
                 return true;
             }
         }
@@ -129,9 +129,9 @@
         shared.heard.len() > heard
     }
 
-    fn shed(&mut self, shared: &mut Shared, token: Token) {
+    fn shed(&mut self, shared: &mut Shared, token: Token, why: CloseReason) {
         shared.counters.viewers_shed += 1;
-        self.close(shared, token);
+        self.close(shared, token, why);
     }
 
     /// Looks after a connection: closes one that has said nothing in its time, holds a message back, or has
@@ -144,8 +144,7 @@
         let silent = !caller.answered && over(caller.since, SILENT_US);
         let idle = standing == 0 && over(caller.heard_at, IDLE_US);
         if open == 0 && (silent || held_back || idle) && !self.hears_more(shared, token) {
-            debug!(shared.log, "a silent connection from viewers is closed");
-            return self.shed(shared, token);
+            return self.shed(shared, token, CloseReason::Silent);
         }
         shared.wake(LOOK_US, Due::Viewer(token));
     }
@@ -185,7 +184,7 @@
             let partial = self.callers.get(&token).is_some_and(|c| c.line.partial());
             if !more && !partial {
                 shared.counters.viewers_sent_away += 1;
-                self.close(shared, token);
+                self.close(shared, token, CloseReason::Drain);
             }
         }
     }
@@ -242,7 +241,7 @@
 
     /// Closes a connection that its viewer has closed.
     pub fn ended(&mut self, shared: &mut Shared, token: Token) {
-        self.close(shared, token);
+        self.close(shared, token, CloseReason::Gone);
     }
 }
 
@@ -270,6 +269,7 @@
 
     /// Closes the connections with something that can't be read.
     fn turned(&mut self, shared: &mut Shared) {
-        std::mem::take(&mut self.ending).into_iter().for_each(|token| self.close(shared, token));
+        let ending = std::mem::take(&mut self.ending);
+        ending.into_iter().for_each(|token| self.close(shared, token, CloseReason::Malformed));
     }
 }
--- a/src/net/viewers/sends.rs
+++ b/src/net/viewers/sends.rs
@@ -1,7 +1,7 @@
 //! What goes out to viewers: final answers on their own connections, and the ends of sessions, which may go
 //! out on any connection or wait for the next one.
 use super::Viewers;
-use super::caller::Unsent;
+use super::caller::{CloseReason, Unsent};
 use crate::director::{Input, ViewerLink};
 use crate::interface::{Micros, RequestId};
 use crate::net::part::Ready;
@@ -45,7 +45,7 @@
         caller.spurned += 1;
         if caller.spurned >= SPURNED_MOST {
             info!(shared.log, "nothing on a connection from viewers can be used, closed");
-            self.shed(shared, link.0);
+            self.shed(shared, link.0, CloseReason::Unusable);
         }
     }
 
@@ -108,8 +108,10 @@
 
     /// Forgets a connection: requests that wait on it are over, and what had not left it whole is told to the
     /// core or sent elsewhere.
-    pub(super) fn close(&mut self, shared: &mut Shared, token: Token) {
+    pub(super) fn close(&mut self, shared: &mut Shared, token: Token, why: CloseReason) {
         let Some(caller) = self.callers.remove(&token) else { return };
+        debug!(shared.log, "a connection from viewers is closed"; "connection" => token,
+            "why" => ?why, "unwritten" => caller.line.unwritten());
         shared.inputs.push(Input::LinkLost(ViewerLink(token)));
         for unsent in caller.into_unsent() {
             match unsent {
@@ -123,6 +125,9 @@
         for (since, bytes) in std::mem::take(&mut self.kept) {
             if since.saturating_add(RELEASE_KEPT_US) > shared.now {
                 self.release(shared, ViewerLink(0), bytes);
+            } else {
+                warn!(shared.log, "a release came to no client in its time";
+                    "session" => viewer::session_of(&bytes));
             }
         }
     }
--- a/src/platform/viewer.rs
+++ b/src/platform/viewer.rs
@@ -212,6 +212,11 @@
     message(RELEASE, session, &[(P_CAUSE, &[CAUSE_REFUSED]), (P_STAY_AWAY, stay_away.as_bytes())])
 }
 
+/// The session that a written message is for, in hexadecimal.
+pub fn session_of(message: &[u8]) -> String {
+    message.get(3..11).unwrap_or_default().iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
 /// Released: failed before the answer, over after it.
 pub fn release(session: RequestId, cause: u8) -> Vec<u8> {
     message(RELEASE, session, &[(P_CAUSE, &[cause])])
