--- /dev/null
+++ b/tests/process_end.rs
@@ -0,0 +1,169 @@
+//! Requests that meet the end of the process: read as the grace period ends, sent while the last answers are written,
+//! waiting in the backlog, or open at the earliest kill. The bad order is forced by stopping the director.
+mod common;
+mod rig;
+use rig::*;
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+
+/// The deadline of all classes in `common::SETTINGS`.
+const DEADLINE: Duration = Duration::from_millis(600);
+/// A platform kills no sooner than this after SIGTERM and the longest deadline.
+const KILL_AFTER_DEADLINE: Duration = Duration::from_millis(700);
+/// A set-up that crosses a close by no more than this is sent again by its client.
+const CROSSING: Duration = Duration::from_millis(50);
+/// Well inside every grace period, and well after it.
+const BEFORE_THE_END: Duration = Duration::from_millis(800);
+const AFTER_THE_END: Duration = Duration::from_millis(1_350);
+
+/// A session that stands, so that its connection is kept until the end.
+fn standing(rig: &Rig, id: u64) -> (TcpStream, TcpStream) {
+    let mut viewer = rig.viewer();
+    viewer.write_all(&set_up(id, "replay")).expect("written");
+    let mut streamer = rig.streamer();
+    read_rtsp(&mut streamer);
+    streamer.write_all(&stands(id, "answer")).expect("written");
+    assert_eq!(hear(&mut viewer).0, 9);
+    (viewer, streamer)
+}
+
+/// Sends SIGTERM and waits until the director has noticed it.
+fn told_to_end(rig: &mut Rig) -> Instant {
+    rig.signal("-TERM");
+    next_line(&mut rig.log, "asked to end");
+    Instant::now()
+}
+
+fn sleep_until(at: Instant) {
+    std::thread::sleep(at.saturating_duration_since(Instant::now()));
+}
+
+/// The final answer to a request; other sessions' ends on the same connection are passed over.
+fn final_answer(viewer: &mut TcpStream, id: u64) -> u8 {
+    loop {
+        let (kind, of, _) = hear(viewer);
+        if of == id {
+            return kind;
+        }
+    }
+}
+
+#[test]
+fn a_request_read_in_the_turn_that_ends_the_grace_period_is_answered() {
+    let mut rig = Rig::start();
+    let (mut viewer, _streamer) = standing(&rig, 0x101);
+    let noticed = told_to_end(&mut rig);
+    sleep_until(noticed + BEFORE_THE_END);
+    rig.stop();
+    viewer.write_all(&set_up(0x102, "seat-view")).expect("written");
+    sleep_until(noticed + AFTER_THE_END);
+    rig.go_on();
+    assert_eq!(final_answer(&mut viewer, 0x102), 12, "refused or failed, but answered");
+    next_line(&mut rig.log, "ended");
+}
+
+#[test]
+fn a_connection_waiting_to_be_accepted_as_the_grace_period_ends_is_answered() {
+    let mut rig = Rig::start();
+    let _session = standing(&rig, 0x111);
+    let noticed = told_to_end(&mut rig);
+    sleep_until(noticed + BEFORE_THE_END);
+    rig.stop();
+    let mut viewers: Vec<TcpStream> = (0..20).map(|_| rig.viewer()).collect();
+    for (id, viewer) in (0x112..).zip(&mut viewers) {
+        viewer.write_all(&set_up(id, "seat-view")).expect("written");
+    }
+    sleep_until(noticed + AFTER_THE_END);
+    rig.go_on();
+    for (id, viewer) in (0x112..).zip(&mut viewers) {
+        assert_eq!(final_answer(viewer, id), 12, "refused or failed, but answered");
+    }
+}
+
+/// One client reads slowly and holds the process; others go on sending until their connection is ended.
+#[test]
+fn a_request_sent_while_the_last_answers_are_written_is_answered_or_its_connection_ended_before() {
+    let mut rig = Rig::with_door_and(&common::patient());
+    let HalfWritten { viewer: _slow, mut streamer, first, .. } = half_written(&rig);
+    let mut viewer = rig.viewer();
+    viewer.write_all(&set_up(first + 9_000, "replay")).expect("written");
+    read_rtsp(&mut streamer);
+    streamer.write_all(&stands(first + 9_000, "answer")).expect("written");
+    assert_eq!(hear(&mut viewer).0, 9);
+    told_to_end(&mut rig);
+    next_line(&mut rig.log, "waits for its last messages to be written");
+    viewer.set_read_timeout(Some(CROSSING)).expect("set");
+    // The session's end, and then the connection's, or nothing for now.
+    let ended = loop {
+        match viewer.read(&mut [0; 1_024]) {
+            Ok(0) => break true,
+            Ok(_) => {}
+            Err(_) => break false,
+        }
+    };
+    if !ended {
+        viewer.set_read_timeout(Some(LONG)).expect("set");
+        viewer.write_all(&set_up(first + 9_001, "replay")).expect("written");
+        assert_eq!(final_answer(&mut viewer, first + 9_001), 12, "refused or failed, but answered");
+    }
+}
+
+/// The signal comes to an idle director, which is the latest to notice it.
+#[test]
+fn an_idle_director_that_is_told_to_end_is_gone_by_the_earliest_kill() {
+    for _ in 0..4 {
+        let mut rig = Rig::start();
+        let (viewer, _streamer) = standing(&rig, 0x121);
+        std::thread::sleep(Duration::from_millis(20)); // what the answer led to is done
+        let told = Instant::now();
+        rig.signal("-TERM");
+        sleep_until(told + DEADLINE + KILL_AFTER_DEADLINE);
+        let gone = rig.child.try_wait().expect("asked");
+        assert!(gone.is_some(), "it still runs as the kill comes");
+        drop(viewer);
+    }
+}
+
+/// A client that goes on sending on its open connection until it is ended: each request has its answer, but for
+/// those that crossed the close.
+#[test]
+fn every_request_sent_until_the_earliest_kill_is_answered_or_crosses_the_close() {
+    let rig = Rig::start();
+    let (viewer, _streamer) = standing(&rig, 0x131);
+    let mut writer = viewer.try_clone().expect("cloned");
+    let sender = std::thread::spawn(move || {
+        let mut sent = Vec::new();
+        for id in 0x1_0000_u64.. {
+            if writer.write_all(&set_up(id, "seat-view")).is_err() {
+                break;
+            }
+            sent.push((id, Instant::now()));
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        sent
+    });
+    std::thread::sleep(Duration::from_millis(30));
+    let told = Instant::now();
+    rig.signal("-TERM");
+    let reader = std::thread::spawn(move || {
+        let mut viewer = viewer;
+        let mut answered = std::collections::BTreeSet::new();
+        let mut length = [0; 2];
+        while viewer.read_exact(&mut length).is_ok() {
+            let mut body = vec![0; usize::from(u16::from_be_bytes(length))];
+            viewer.read_exact(&mut body).expect("no message is cut");
+            answered.insert(u64::from_be_bytes(body[1..9].try_into().expect("eight bytes")));
+        }
+        let closed = Instant::now();
+        let _ = viewer.shutdown(std::net::Shutdown::Both);
+        (answered, closed)
+    });
+    sleep_until(told + DEADLINE + KILL_AFTER_DEADLINE);
+    rig.signal("-KILL");
+    let (answered, closed) = reader.join().expect("read");
+    let sent = sender.join().expect("sent");
+    let lost: Vec<_> =
+        sent.iter().filter(|(id, at)| !answered.contains(id) && *at + CROSSING < closed).collect();
+    assert!(lost.is_empty(), "{} of {} requests lost: {lost:?}, closed {closed:?}", lost.len(), sent.len());
+}
--- /dev/null
+++ b/tests/request_ends.rs
@@ -0,0 +1,124 @@
+//! Connections that the director closes while something on them is not over: behind what can't be read or used, with
+//! a client that reads slowly, or with half a request; and releases that overtake their answers.
+mod common;
+mod rig;
+use rig::*;
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::time::Duration;
+
+/// By then a connection that has said nothing whole is closed.
+const SILENT: Duration = Duration::from_millis(1_500);
+
+fn ends(viewer: &mut TcpStream) {
+    assert_eq!(viewer.read(&mut [0; 64]).unwrap_or(0), 0, "ended, and nothing more said");
+}
+
+#[test]
+fn a_request_ahead_of_what_cannot_be_read_gets_its_answer() {
+    let rig = Rig::start();
+    let mut viewer = rig.viewer();
+    let garbage = [0, 3, 1, 2, 3];
+    viewer.write_all(&[&set_up(0x201, "replay")[..], &garbage].concat()).expect("written");
+    let mut streamer = rig.streamer();
+    assert!(read_rtsp(&mut streamer).starts_with("SETUP"));
+    std::thread::sleep(Duration::from_millis(50)); // many turns later
+    streamer.write_all(&stands(0x201, "answer")).expect("written");
+    assert_eq!(hear(&mut viewer).0, 9, "served");
+    ends(&mut viewer);
+}
+
+#[test]
+fn a_request_beside_too_many_unusable_ones_gets_its_answer() {
+    let rig = Rig::start();
+    let mut viewer = rig.viewer();
+    viewer.write_all(&set_up(0x211, "replay")).expect("written");
+    let mut streamer = rig.streamer();
+    read_rtsp(&mut streamer);
+    for id in 0x300..0x340 {
+        viewer.write_all(&set_up(id, "nobody's")).expect("written");
+    }
+    std::thread::sleep(Duration::from_millis(50));
+    streamer.write_all(&stands(0x211, "answer")).expect("written");
+    loop {
+        match hear(&mut viewer) {
+            (kind, 0x211, _) => break assert_eq!(kind, 9, "served"),
+            (kind, id, _) => assert!(kind == 12 && (0x300..0x340).contains(&id)),
+        }
+    }
+}
+
+/// Answers pile up at the director, beyond what it keeps for a client that does not read, while a request is open.
+#[test]
+fn a_request_on_a_connection_that_reads_slowly_gets_its_answer() {
+    let rig = Rig::with_door_and(&common::patient());
+    let HalfWritten { mut viewer, mut streamer, answers, first } = half_written(&rig);
+    let (open, served) = (first + 9_000, rig.figure("served"));
+    viewer.write_all(&set_up(open, "replay")).expect("written");
+    read_rtsp(&mut streamer);
+    let long = "a".repeat(15_000);
+    let more = 20;
+    for id in open + 1..=open + more {
+        viewer.write_all(&set_up(id, "replay")).expect("written");
+        read_rtsp(&mut streamer);
+        streamer.write_all(&stands(id, &long)).expect("written");
+    }
+    until("all others are answered", || rig.figure("served") == served + more);
+    streamer.write_all(&stands(open, "answer")).expect("written");
+    for _ in 0..answers + more {
+        assert_eq!(hear(&mut viewer).0, 9, "whole");
+    }
+    assert_eq!(hear(&mut viewer).0, 9, "the last one, too");
+}
+
+/// The second half of a request comes after the time in which a new connection has to have said something.
+#[test]
+fn half_a_request_as_its_connection_falls_due_for_silence_is_waited_for() {
+    let rig = Rig::start();
+    let mut viewer = rig.viewer();
+    let whole = set_up(0x221, "nobody's");
+    std::thread::sleep(SILENT - Duration::from_millis(300));
+    viewer.write_all(&whole[..30]).expect("written");
+    std::thread::sleep(Duration::from_millis(600));
+    viewer.write_all(&whole[30..]).expect("the connection stays");
+    assert_eq!(hear(&mut viewer), (12, 0x221, vec![58, 0, 1, 41]));
+}
+
+/// A full table: a connection in the middle of bringing a request is not the one that is closed.
+#[test]
+fn a_connection_with_half_a_request_makes_no_room() {
+    let rig = Rig::with_door();
+    let mut half = rig.viewer();
+    let whole = set_up(0x231, "nobody's");
+    half.write_all(&whole[..30]).expect("written");
+    std::thread::sleep(Duration::from_millis(200)); // longest unheard of, and past its first time
+    let crowd: Vec<TcpStream> = (0..200).map(|_| rig.viewer()).collect();
+    until("some made room", || rig.figure("viewers_shed") > 20);
+    half.write_all(&whole[30..]).expect("the connection stays");
+    assert_eq!(hear(&mut half), (12, 0x231, vec![58, 0, 1, 41]));
+    drop(crowd);
+}
+
+/// A session's release came on another connection, ahead of the answer that it stands, and was dropped: the client
+/// was told that it stands and never that it is over.
+#[test]
+fn a_release_that_overtakes_its_answer_is_told_after_it() {
+    let one_each = common::SETTINGS.replace(r#""multiplex": 32"#, r#""multiplex": 1"#);
+    let rig = Rig::with_door_and(&one_each);
+    let mut viewer = rig.viewer();
+    viewer.write_all(&set_up(0x241, "replay")).expect("written");
+    let mut first = rig.streamer();
+    read_rtsp(&mut first);
+    viewer.write_all(&set_up(0x242, "replay")).expect("written");
+    let mut second = rig.streamer();
+    read_rtsp(&mut second);
+    second.write_all(&over(0x241)).expect("written");
+    second.write_all(&stands(0x242, "answer")).expect("written");
+    assert_eq!(hear(&mut viewer).1, 0x242, "the release was heard before this");
+    first.write_all(&stands(0x241, "answer")).expect("written");
+    let (kind, id, _) = hear(&mut viewer);
+    assert_eq!((kind, id), (9, 0x241));
+    viewer.set_read_timeout(Some(Duration::from_secs(1))).expect("set");
+    let (kind, id, parameters) = hear(&mut viewer);
+    assert_eq!((kind, id, parameters), (12, 0x241, vec![58, 0, 1, 16]), "and its end");
+}
