End the process without a gap: what was read is answered, connections end in order

Callers saw requests taken in the last moments of a director get no answer, their connection reset, or SIGKILL find them open (rule lost).

Cause: the end ran among the deadlines of a turn (src/net/duty.rs, quit), between reading and the core's rounds; from there on every input was thrown away (src/net/mod.rs, 'if self.closed { continue; }'), the backlog was not taken, connections were dropped with unread bytes (a reset), and the end was counted from when the signal was noticed, up to 250 ms late, to 0.6 s after the longest deadline, past the earliest kill at 0.7 s.

Now the grace period ends with a whole turn: the backlog and all connections are read, answers of that turn still count, requests of it are refused, then all that is open is answered. Afterwards requests are refused at once, each connection's own side is ended once nothing on it is open, unwritten or half read, and what the client still sends is dropped until it ends its side. The process leaves when none is left, at the latest 60 ms before the earliest kill counted from the signal (noticed within 25 ms), longer only for clients that have not read their answers. A request that was never passed on is refused at the end, not failed.

Test rigs print the director's log when a test fails, at the level in STONEWHARF_TEST_LOG.

--- /dev/null
+++ b/crates/core/src/director/ledger/closed.rs
@@ -0,0 +1,75 @@
+//! The ledger's end: all that is open is answered, what stands is released, and what still comes is refused.
+use super::super::messages::*;
+use super::{Ledger, Outbox, Session, Stage};
+use crate::interface::*;
+
+/// How long a client refused at the end is told to stay away: another director may serve it at once.
+const HOLD_OFF_US: Micros = 50_000;
+
+impl Ledger {
+    /// Ends everything at the director's own end: requests are answered, and sessions are released on both
+    /// sides but where an heir takes them over.
+    pub(in crate::director) fn close(&mut self, bequeath: bool, out: &mut Outbox) {
+        for (id, session) in std::mem::take(&mut self.sessions) {
+            answer(id, &session, out);
+            match session.stage {
+                Stage::Standing { .. } if bequeath => {}
+                Stage::Standing { streamer, .. } => release(session.link, id, streamer, out),
+                Stage::Out { streamer, number, .. } => {
+                    out.deeds.push(Deed::GiveUp(streamer, Attempt { session: id, number }));
+                }
+                Stage::Deciding | Stage::GivingUp { .. } => {}
+            }
+        }
+        self.standing_at.clear();
+        self.links.clear();
+    }
+
+    /// Answers what comes after the end.
+    pub(in crate::director) fn hear_after_close(&self, input: Input, bequeath: bool, out: &mut Outbox) {
+        match input {
+            Input::Wanted { link, request, .. } => {
+                out.counters.taken += 1;
+                refuse(link, request.id, request.class, out);
+            }
+            Input::Unusable(link, id) => {
+                out.counters.unusable += 1;
+                out.deeds.push(Deed::Spurn(link, id));
+            }
+            Input::Playing { link, request, streamer } if !bequeath => {
+                release(link, request.id, streamer, out);
+            }
+            Input::Stands { streamer, session, .. } => {
+                out.counters.late_answers += 1;
+                out.deeds.push(Deed::Drop(streamer, session));
+            }
+            _ => {}
+        }
+    }
+}
+
+/// The final answer to a request that is open at the end: refused where no attempt was begun.
+fn answer(id: RequestId, session: &Session, out: &mut Outbox) {
+    if !session.owed {
+        return;
+    }
+    if session.attempts == 0 {
+        return refuse(session.link, id, session.class, out);
+    }
+    out.counters.failed += 1;
+    out.answered(session.class, |c| &mut c.faulted);
+    out.deeds.push(Deed::Fail(session.link, id));
+}
+
+fn refuse(link: ViewerLink, id: RequestId, class: ClassId, out: &mut Outbox) {
+    out.counters.refused += 1;
+    out.answered(class, |c| &mut c.throttled);
+    out.deeds.push(Deed::Refuse(link, id, HOLD_OFF_US));
+}
+
+/// Releases a session on both sides.
+fn release(link: ViewerLink, id: RequestId, streamer: StreamerId, out: &mut Outbox) {
+    out.counters.cut += 1;
+    out.deeds.push(Deed::Release(link, id, Over::Cut));
+    out.deeds.push(Deed::Drop(streamer, id));
+}
--- a/crates/core/src/director/ledger/mod.rs
+++ b/crates/core/src/director/ledger/mod.rs
@@ -1,6 +1,7 @@
 //! The session ledger: for every session its stage, its attempts, and who is owed what. It keeps three
 //! promises whatever comes in and in whatever order: a request gets one final answer, one attempt of it is
 //! out at a time, and nothing of an attempt that was given up reaches the viewer.
+mod closed;
 mod streamers;
 mod viewers;
 
@@ -332,30 +333,4 @@
             Action::Log(words) => out.deeds.push(Deed::Log(words)),
         }
     }
-
-    /// Ends everything at the director's own end: requests fail, and sessions are released on both sides but
-    /// where an heir takes them over.
-    pub(in crate::director) fn close(&mut self, bequeath: bool, out: &mut Outbox) {
-        for (id, session) in std::mem::take(&mut self.sessions) {
-            if session.owed {
-                out.counters.failed += 1;
-                out.answered(session.class, |c| &mut c.faulted);
-                out.deeds.push(Deed::Fail(session.link, id));
-            }
-            match session.stage {
-                Stage::Standing { .. } if bequeath => {}
-                Stage::Standing { streamer, .. } => {
-                    out.counters.cut += 1;
-                    out.deeds.push(Deed::Release(session.link, id, Over::Cut));
-                    out.deeds.push(Deed::Drop(streamer, id));
-                }
-                Stage::Out { streamer, number, .. } => {
-                    out.deeds.push(Deed::GiveUp(streamer, Attempt { session: id, number }));
-                }
-                Stage::Deciding | Stage::GivingUp { .. } => {}
-            }
-        }
-        self.standing_at.clear();
-        self.links.clear();
-    }
 }
--- a/crates/core/src/director/mod.rs
+++ b/crates/core/src/director/mod.rs
@@ -73,6 +73,12 @@
         std::mem::take(&mut self.outbox.deeds)
     }
 
+    /// One turn after [`Director::close`]: requests are refused at once, and nothing is begun.
+    pub fn turn_after_close(&mut self, inputs: Vec<Input>, bequeath: bool) -> Vec<Deed> {
+        inputs.into_iter().for_each(|input| self.ledger.hear_after_close(input, bequeath, &mut self.outbox));
+        std::mem::take(&mut self.outbox.deeds)
+    }
+
     /// What is left to an heir: the sessions that stand, and their rungs.
     pub fn estate(&self) -> Vec<(RequestId, usize)> {
         self.ledger.estate()
--- a/src/net/begin.rs
+++ b/src/net/begin.rs
@@ -4,6 +4,7 @@
 use super::bulletin::Bulletin;
 use super::clock::Clock;
 use super::door::{self, Door};
+use super::duty::{Phase, grace_us};
 use super::error::NodeError;
 use super::hand::Hands;
 use super::parts::Parts;
@@ -28,9 +29,6 @@
 
 /// Descriptors that are neither viewers' nor streamers': standard streams, poller, timer, bulletin, spare.
 const OWN_DESCRIPTORS: usize = 24;
-/// The longest deadline that the grace time after SIGTERM counts, and what comes on top.
-const GRACE_DEADLINE_MOST_US: Micros = 3_000_000;
-const GRACE_MORE_US: Micros = 600_000;
 
 /// Reads the operator file; with the names of a deployment, for that one.
 pub fn operator(file: &Path, names: Option<&Vocabulary>) -> Result<Operator, NodeError> {
@@ -195,8 +193,7 @@
         };
         let viewers = Viewers::on(&mut shared, listener, sockets / 2)
             .map_err(|why| NodeError::Listen(config.listen, why))?;
-        let grace = carriage.longest_us().min(GRACE_DEADLINE_MOST_US) + GRACE_MORE_US;
-        let duty = Duty::new(grace, config.inherited.is_some());
+        let duty = Duty::new(grace_us(carriage.longest_us()), config.inherited.is_some());
         let streamers = Streamers::new(carriage.clone(), sockets / 2);
         let bulletin = Bulletin::new(config.bulletin, config.known.no);
         let mut node = Node {
@@ -217,8 +214,7 @@
             figures,
             estate: config.shared_folder().map(|folder| estate::place(folder, &config.name)),
             inherited: false,
-            closed: false,
-            done: false,
+            phase: Phase::Serving,
             tracing: false,
         };
         config.known.items.iter().for_each(|notice| node.notice(notice, true));
--- a/src/net/duty.rs
+++ b/src/net/duty.rs
@@ -2,16 +2,48 @@
 //! away, and the end. What follows from what is decided in the core (`director::Duty`).
 use super::poll::Token;
 use super::shared::Due;
-use super::{Node, estate};
-use crate::director::{Close, Input, Leave};
+use super::{Node, estate, signals};
+use crate::director::{Close, Deed, Input, Leave};
 use crate::interface::Micros;
 use crate::platform::door::Call;
 use slog::{info, warn};
 
-/// How long the process stays at its end for messages that could not be written at once. A platform that
-/// wants it gone sooner kills it.
+/// The longest deadline that the grace period counts, and how long after it a platform may kill the process,
+/// both from its signal.
+const GRACE_DEADLINE_MOST_US: Micros = 3_000_000;
+const KILL_AFTER_DEADLINE_US: Micros = 700_000;
+/// How long before the earliest kill the process has left.
+const LEFT_BEFORE_KILL_US: Micros = 60_000;
+/// How long clients have to end their connections after the grace period.
+const CLOSING_US: Micros = 150_000;
+/// How long the process stays after the grace period for clients that have not read their last answers. A
+/// platform that wants it gone sooner kills it.
 const LAST_WRITES_US: Micros = 1_000_000;
 
+/// How far the process is on its way to its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Phase {
+    /// Requests are served, in the grace period, too.
+    Serving,
+    /// The grace period ends with this turn: what is open is answered, and what was read with it refused.
+    LastTurn,
+    /// What still comes is refused, and connections are ended in order.
+    Closing {
+        /// Since when.
+        since: Micros,
+    },
+    /// The process leaves.
+    Done,
+}
+
+/// How long requests are served after the signal was noticed, for the longest deadline of a deployment. The
+/// signal came up to [`signals::NOTICE`] before.
+pub(super) fn grace_us(longest_deadline_us: Micros) -> Micros {
+    let noticed_us = signals::NOTICE.as_micros() as Micros;
+    longest_deadline_us.min(GRACE_DEADLINE_MOST_US) + KILL_AFTER_DEADLINE_US
+        - (LEFT_BEFORE_KILL_US + CLOSING_US + noticed_us)
+}
+
 impl Node {
     /// Answers a call at the operators' door.
     pub(super) fn called(&mut self, token: Token, call: Call) {
@@ -78,7 +110,7 @@
 
     /// Does what the duty asks about the viewers' connections, and looks again while it may change.
     pub(super) fn send_away(&mut self) {
-        if self.closed {
+        if self.phase != Phase::Serving {
             return;
         }
         let Leave { close, hurry } = self.duty.leave(self.shared.now);
@@ -96,25 +128,71 @@
         self.look_at_duty();
     }
 
-    /// The end: the core closes all that is open. The process stays while answers and releases are not yet
-    /// written, for a bounded time.
+    /// The grace period is over, or the time after it.
     pub(super) fn quit(&mut self) {
-        if std::mem::replace(&mut self.closed, true) {
-            self.done = true;
-            return;
+        self.phase = match self.phase {
+            Phase::Serving | Phase::LastTurn => Phase::LastTurn,
+            Phase::Closing { .. } | Phase::Done => Phase::Done,
+        };
+    }
+
+    /// Hands a turn's inputs to the core. As the grace period ends, answers that came in the same turn still
+    /// count, and requests are refused; so are those that come afterwards.
+    pub(super) fn decide(&mut self, inputs: Vec<Input>) -> Vec<Deed> {
+        let now = self.shared.now;
+        match self.phase {
+            Phase::Serving => self.director.turn(now, inputs),
+            Phase::LastTurn => {
+                let (late, heard): (Vec<Input>, Vec<Input>) =
+                    inputs.into_iter().partition(|input| matches!(input, Input::Wanted { .. }));
+                let mut deeds = self.director.turn(now, heard);
+                deeds.extend(self.director.turn_after_close(late, self.leaves_sessions()));
+                deeds
+            }
+            Phase::Closing { .. } | Phase::Done => {
+                self.director.turn_after_close(inputs, self.leaves_sessions())
+            }
         }
+    }
+
+    /// Whether what stands is left to another process, and not released.
+    fn leaves_sessions(&self) -> bool {
+        self.duty.bequeaths() || self.has_heirs()
+    }
+
+    /// Goes on with the end as a turn is over: answers what is open, ends the connections, and leaves when
+    /// none is left or the time is up.
+    pub(super) fn advance_end(&mut self) {
+        if self.phase == Phase::LastTurn {
+            self.close();
+        }
+        self.parts.viewers.advance_closing(&mut self.shared, &self.director);
+        let Phase::Closing { since } = self.phase else { return };
+        let over = since.saturating_add(CLOSING_US) <= self.shared.now;
+        let left = self.parts.viewers.held() == 0 && !self.parts.streamers.writes();
+        if left || over && !self.parts.viewers.writes() {
+            self.phase = Phase::Done;
+        }
+    }
+
+    /// The core closes all that is open. The process stays while answers and releases are not yet written and
+    /// connections not yet ended, for a bounded time.
+    fn close(&mut self) {
+        self.phase = Phase::Closing { since: self.shared.now };
         if let Some(place) = &self.estate
             && let Err(why) = estate::leave(place, &self.director.estate())
         {
             warn!(self.shared.log, "nothing is left to the next process: {why}");
         }
-        let deeds = self.director.close(self.duty.bequeaths() || self.has_heirs());
+        let deeds = self.director.close(self.leaves_sessions());
         deeds.into_iter().for_each(|deed| self.carry_out(deed));
+        self.parts.streamers.flush(&mut self.shared);
         self.parts.peers.iter_mut().for_each(|peers| peers.leave(&mut self.shared));
-        self.parts.viewers.shut(&self.shared);
+        self.parts.viewers.close_all(&self.shared);
         if self.parts.viewers.writes() || self.parts.streamers.writes() {
             info!(self.shared.log, "waits for its last messages to be written");
         }
+        self.shared.wake(CLOSING_US, Due::Closing);
         self.shared.wake(LAST_WRITES_US, Due::Quit);
     }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -33,6 +33,7 @@
 pub use agreed::{LogSeen, Request, Told};
 pub use begin::{digest, operator};
 use clock::Clock;
+use duty::Phase;
 pub use error::NodeError;
 use part::Ready;
 use parts::Parts;
@@ -73,9 +74,7 @@
     estate: Option<PathBuf>,
     /// What the one before left has been taken over.
     inherited: bool,
-    /// The core has come to its end; only what is still to be written holds the process.
-    closed: bool,
-    done: bool,
+    phase: Phase,
     /// Whether every input and deed is logged, at the level `trace`.
     tracing: bool,
 }
@@ -100,7 +99,7 @@
     /// Serves until SIGTERM and the grace time after it.
     pub fn run(&mut self) -> Result<(), NodeError> {
         info!(self.shared.log, "serves"; "at" => %self.address()?);
-        while !self.done {
+        while self.phase != Phase::Done {
             self.turn(None)?;
         }
         info!(self.shared.log, "ended"; "counters" => %self.counters());
@@ -125,6 +124,9 @@
         while let Some(due) = self.shared.deadlines.due(self.shared.now) {
             self.due(due);
         }
+        if self.phase == Phase::LastTurn {
+            self.parts.viewers.read_all(&mut self.shared);
+        }
         for _ in 0..ROUNDS {
             self.take_in();
             if self.shared.inputs.is_empty() {
@@ -134,16 +136,12 @@
                 break;
             }
             let mut inputs = std::mem::take(&mut self.shared.inputs);
-            if self.closed {
-                self.log_dropped(&inputs);
-                continue; // nothing new is begun
-            }
-            self.log_lost_requests(&inputs);
             self.estate_inputs(&mut inputs);
             for input in inputs.iter().filter(|_| self.tracing).filter_map(trace::input) {
                 trace!(self.shared.log, "in"; "input" => input);
             }
-            let deeds = self.director.turn(self.shared.now, inputs);
+            self.log_lost_requests(&inputs);
+            let deeds = self.decide(inputs);
             for deed in deeds.iter().filter(|_| self.tracing).filter_map(trace::deed) {
                 trace!(self.shared.log, "out"; "deed" => deed);
             }
@@ -158,9 +156,7 @@
             self.leave();
         }
         self.estate_deeds();
-        if self.closed && !self.parts.viewers.writes() && !self.parts.streamers.writes() {
-            self.done = true;
-        }
+        self.advance_end();
         Ok(())
     }
 
@@ -198,7 +194,7 @@
 
     fn due(&mut self, due: Due) {
         match due {
-            Due::Agreed => {} // looked at as the turn ends
+            Due::Agreed | Due::Closing => {} // looked at as the turn ends
             Due::Core(due) => self.shared.inputs.push(Input::Due(due)),
             Due::Away => self.send_away(),
             Due::Quit => self.quit(),
--- a/src/net/shared.rs
+++ b/src/net/shared.rs
@@ -37,8 +37,10 @@
     Agreed,
     /// Look after a link to a peer.
     Peer(Token),
-    /// The grace time after SIGTERM is over.
+    /// The grace period after SIGTERM is over, or the time for the last messages after it.
     Quit,
+    /// The time for clients to end their connections after the grace period is over.
+    Closing,
 }
 
 /// What a part heard that needs names or settings before the core can hear it.
--- a/src/net/signals.rs
+++ b/src/net/signals.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 /// The longest time from a signal to the loop acting on it: the loop never waits longer than this.
-pub const NOTICE: Duration = Duration::from_millis(250);
+pub const NOTICE: Duration = Duration::from_millis(25);
 
 /// What a signal asks for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/net/trace.rs
+++ b/src/net/trace.rs
@@ -4,19 +4,9 @@
 //! without an answer. Decides nothing.
 use super::Node;
 use crate::director::{Deed, Input, SetUp};
-use slog::{debug, warn};
+use slog::debug;
 
 impl Node {
-    /// Names the requests that are thrown away unanswered, since the core has come to its end.
-    pub(super) fn log_dropped(&self, inputs: &[Input]) {
-        for input in inputs {
-            if let Input::Wanted { link, request, .. } = input {
-                warn!(self.shared.log, "a request is dropped at the end"; "at_us" => self.shared.now,
-                    "connection" => link.0, "session" => format!("{:016x}", request.id.0));
-            }
-        }
-    }
-
     /// Tells of connections that are gone with requests open on them.
     pub(super) fn log_lost_requests(&self, inputs: &[Input]) {
         for input in inputs {
--- a/src/net/viewers/caller.rs
+++ b/src/net/viewers/caller.rs
@@ -31,6 +31,29 @@
     Room,
     /// Clients are sent away.
     Drain,
+    /// The process ends.
+    End,
+}
+
+/// How far a connection is on its way to its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// It is in use.
+    Open,
+    /// It is ended as soon as what was taken on it is answered and written.
+    Closing {
+        /// Why.
+        why: CloseReason,
+        /// Since when.
+        since: Micros,
+    },
+    /// This side has ended. What the client still sends is dropped until it ends its own.
+    Finished {
+        /// Why.
+        why: CloseReason,
+        /// By when the client must have ended its side.
+        until: Micros,
+    },
 }
 
 /// A connection from viewers.
@@ -48,6 +71,7 @@
     /// A session of it has stood.
     pub stood: bool,
     pub spurned: u32,
+    pub stage: Stage,
     /// It has ended or can't be written to, and is closed as soon as what came on it has been heard.
     pub broken: bool,
     /// Messages that matter beyond this connection, each with the count of bytes at which it ends.
@@ -66,6 +90,7 @@
             answered: false,
             stood: false,
             spurned: 0,
+            stage: Stage::Open,
             broken: false,
             unsent: VecDeque::new(),
         }
@@ -80,6 +105,16 @@
         read && !reading && !self.broken && self.heard_at < now
     }
 
+    /// Whether what comes on it is still taken as messages: at the process's end that is answered to the last.
+    pub fn takes_messages(&self) -> bool {
+        matches!(self.stage, Stage::Open | Stage::Closing { why: CloseReason::End, .. })
+    }
+
+    /// Whether something can still be said on it.
+    pub fn takes_writes(&self) -> bool {
+        !self.broken && !matches!(self.stage, Stage::Finished { .. })
+    }
+
     /// Adds a message to what is to be written.
     pub fn put(&mut self, bytes: &[u8], matters: Option<Unsent>) {
         self.answered = true;
--- a/src/net/viewers/mod.rs
+++ b/src/net/viewers/mod.rs
@@ -1,6 +1,7 @@
 //! The viewers' side: the listener and the connections that viewers' sessions come in on. A connection that
 //! says nothing, or nothing that can be answered, is closed; a full table makes room.
 mod caller;
+mod closing;
 mod sends;
 
 use super::line::{Got, Line};
@@ -10,12 +11,12 @@
 use crate::director::{Director, ViewerLink};
 use crate::interface::Micros;
 use crate::platform::viewer::{self, FromViewer};
-use caller::{Caller, CloseReason, FIRST_US, IDLE_US};
+use caller::{Caller, CloseReason, FIRST_US, IDLE_US, Stage};
 use slog::{debug, warn};
 use socket2::{Domain, Protocol, Socket, Type};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 
 const BACKLOG: i32 = 1024;
 /// Connections taken in one turn at most, so that a crowd does not keep those that are up waiting.
@@ -40,10 +41,13 @@
 
 /// Listener and connections of the viewers.
 pub struct Viewers {
-    listener: Watched<TcpListener>,
+    /// None once the grace period is over.
+    listener: Option<Watched<TcpListener>>,
     callers: BTreeMap<Token, Caller>,
     most: usize,
     kept: VecDeque<(Micros, Vec<u8>)>,
+    /// Connections that are to be ended once nothing on them is open or unwritten.
+    closing: BTreeSet<Token>,
     /// With something that can't be read: closed when what came ahead of it has been answered.
     ending: Vec<Token>,
     /// No connections are taken any more.
@@ -56,10 +60,11 @@
         listener.set_nonblocking(true)?;
         let listener = shared.poll.watch(listener, false)?;
         Ok(Viewers {
-            listener,
+            listener: Some(listener),
             callers: BTreeMap::new(),
             most,
             kept: VecDeque::new(),
+            closing: BTreeSet::new(),
             ending: Vec::new(),
             shut: false,
         })
@@ -67,7 +72,8 @@
 
     /// Where it listens.
     pub fn address(&self) -> io::Result<SocketAddr> {
-        self.listener.source().local_addr()
+        let listener = self.listener.as_ref().ok_or(io::ErrorKind::NotConnected)?;
+        listener.source().local_addr()
     }
 
     /// Takes the connections that wait. A full table makes room for them.
@@ -76,11 +82,9 @@
             if self.callers.len() >= self.most && !self.make_room(shared, director) {
                 return self.pause(shared); // the backlog keeps them
             }
-            match self.listener.source().accept() {
-                Ok((stream, _)) => match Line::accepted(&mut shared.poll, stream) {
-                    Ok(line) => self.take(shared, line),
-                    Err(why) => warn!(shared.log, "a connection from viewers could not be set up: {why}"),
-                },
+            let Some(listener) = &self.listener else { return };
+            match listener.source().accept() {
+                Ok((stream, _)) => self.welcome(shared, stream),
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
                 Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
@@ -96,7 +100,13 @@
         }
     }
 
-    fn take(&mut self, shared: &mut Shared, line: Line) {
+    fn welcome(&mut self, shared: &mut Shared, stream: TcpStream) {
+        let line = match Line::accepted(&mut shared.poll, stream) {
+            Ok(line) => line,
+            Err(why) => {
+                return warn!(shared.log, "a connection from viewers could not be set up: {why}");
+            }
+        };
         shared.counters.viewer_connections += 1;
         let token = line.token();
         self.callers.insert(token, Caller::new(line, shared.now));
@@ -138,6 +148,12 @@
     /// had nothing on it for long.
     fn look(&mut self, shared: &mut Shared, token: Token, director: &Director) {
         let Some(caller) = self.callers.get(&token) else { return };
+        match caller.stage {
+            Stage::Open => {}
+            Stage::Closing { .. } => return shared.wake(LOOK_US, Due::Viewer(token)),
+            Stage::Finished { why, until } if until <= shared.now => return self.close(shared, token, why),
+            Stage::Finished { .. } => return,
+        }
         let (open, standing) = director.on_link(ViewerLink(token));
         let over = |since: Micros, span: Micros| since.saturating_add(span) <= shared.now;
         let held_back = caller.partial_since.is_some_and(|since| over(since, SILENT_US));
@@ -151,7 +167,8 @@
 
     /// Without a pause the waiting connections would wake the loop again at once.
     fn pause(&mut self, shared: &mut Shared) {
-        if self.listener.interest(false, false).is_ok() {
+        let paused = self.listener.as_mut().is_some_and(|l| l.interest(false, false).is_ok());
+        if paused {
             shared.wake(ACCEPT_PAUSE_US, Due::Accept);
         }
     }
@@ -159,11 +176,16 @@
     /// Takes no further connections: they are another process's.
     pub fn shut(&mut self, shared: &Shared) {
         self.shut = true;
-        if let Err(why) = self.listener.interest(false, false) {
+        let Some(listener) = &mut self.listener else { return };
+        if let Err(why) = listener.interest(false, false) {
             warn!(shared.log, "the listener is still watched: {why}");
         }
     }
 
+    fn listens_on(&self, token: Token) -> bool {
+        self.listener.as_ref().is_some_and(|listener| listener.token() == token)
+    }
+
     /// Connections that are held.
     pub fn held(&self) -> usize {
         self.callers.len()
@@ -176,7 +198,8 @@
         let quiet = |(token, c): (&Token, &Caller)| {
             let settled = c.answered || c.since.saturating_add(FIRST_US) <= shared.now;
             let (open, standing) = director.on_link(ViewerLink(*token));
-            (open == 0 && (all || standing == 0) && settled && c.line.unwritten() == 0).then_some(*token)
+            let quiet = c.stage == Stage::Open && settled && c.line.unwritten() == 0;
+            (open == 0 && (all || standing == 0) && quiet).then_some(*token)
         };
         let quiet: Vec<Token> = self.callers.iter().filter_map(quiet).collect();
         for token in quiet {
@@ -184,7 +207,7 @@
             let partial = self.callers.get(&token).is_some_and(|c| c.line.partial());
             if !more && !partial {
                 shared.counters.viewers_sent_away += 1;
-                self.close(shared, token, CloseReason::Drain);
+                self.finish(shared, token, CloseReason::Drain);
             }
         }
     }
@@ -194,7 +217,8 @@
         if self.shut {
             return;
         }
-        if let Err(why) = self.listener.interest(true, false) {
+        let Some(listener) = &mut self.listener else { return };
+        if let Err(why) = listener.interest(true, false) {
             warn!(shared.log, "the listener can't be watched: {why}");
         }
         self.accept(shared, director);
@@ -212,6 +236,14 @@
             return;
         }
         let got = caller.line.read();
+        if !caller.takes_messages() {
+            caller.line.discard();
+            caller.broken |= !matches!(got, Ok(Got::Bytes));
+            if caller.broken {
+                shared.heard.push(Heard::Closed(token));
+            }
+            return;
+        }
         let (whole, bad) = caller.line.take(viewer::read);
         if !whole.is_empty() {
             caller.heard_at = shared.now;
@@ -247,11 +279,11 @@
 
 impl Part for Viewers {
     fn owns(&self, token: Token) -> bool {
-        self.callers.contains_key(&token) || self.listener.token() == token
+        self.callers.contains_key(&token) || self.listens_on(token)
     }
 
     fn ready(&mut self, shared: &mut Shared, director: &Director, ready: Ready) {
-        if self.listener.token() == ready.token {
+        if self.listens_on(ready.token) {
             self.accept(shared, director);
         } else {
             self.exchange(shared, ready);
--- a/src/net/viewers/sends.rs
+++ b/src/net/viewers/sends.rs
@@ -30,7 +30,7 @@
     /// Sends the answer that a session stands. Where its connection is gone, or breaks before the answer has
     /// left whole, the core is told so: the viewer will not end that session.
     pub fn stands(&mut self, shared: &mut Shared, link: ViewerLink, id: RequestId, bytes: &[u8]) {
-        let Some(caller) = self.callers.get_mut(&link.0).filter(|c| !c.broken) else {
+        let Some(caller) = self.callers.get_mut(&link.0).filter(|c| c.takes_writes()) else {
             return shared.inputs.push(Input::Undelivered(id));
         };
         (caller.stood, caller.spurned) = (true, 0);
@@ -51,7 +51,7 @@
 
     /// Sends a final answer, or another message that matters on its own connection alone.
     pub fn say(&mut self, shared: &mut Shared, link: ViewerLink, bytes: &[u8]) {
-        let Some(caller) = self.callers.get_mut(&link.0).filter(|c| !c.broken) else { return };
+        let Some(caller) = self.callers.get_mut(&link.0).filter(|c| c.takes_writes()) else { return };
         caller.put(bytes, None);
         self.write_out(shared, link.0);
     }
@@ -77,7 +77,7 @@
     /// connection break before the message has left whole, it is sent again on another.
     fn release_on(&mut self, shared: &mut Shared, token: Token, bytes: &[u8]) -> bool {
         let closing = self.ending.contains(&token);
-        let Some(caller) = self.callers.get_mut(&token).filter(|c| !c.broken && !closing) else {
+        let Some(caller) = self.callers.get_mut(&token).filter(|c| c.takes_writes() && !closing) else {
             return false;
         };
         caller.put(bytes, Some(Unsent::Release(bytes.to_vec())));
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -17,6 +17,8 @@
 pub use half_written::{HalfWritten, half_written};
 
 pub const LONG: Duration = Duration::from_secs(30);
+/// Sets the level of the directors' logs, which a test that fails prints.
+const LOG_LEVEL: &str = "STONEWHARF_TEST_LOG";
 static NEXT: AtomicU64 = AtomicU64::new(1);
 
 /// A director as a process, with its streamer and its bulletin.
@@ -200,6 +202,9 @@
         std::fs::write(&file, config).expect("written");
         let mut command = Command::new(env!("CARGO_BIN_EXE_stonewharf"));
         command.args(arguments).env("LB_CONFIG", &file).stderr(Stdio::piped());
+        if let Ok(level) = std::env::var(LOG_LEVEL) {
+            command.args(["serve", "--log-level", &level]);
+        }
         if door {
             command.env("LB_ADMIN_ADDR", "127.0.0.1:0");
         }
@@ -228,6 +233,11 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        if std::thread::panicking() {
+            let mut rest = Vec::new();
+            let _ = self.log.read_to_end(&mut rest);
+            println!("the director's log, what the test had not read:\n{}", String::from_utf8_lossy(&rest));
+        }
         let _ = std::fs::remove_dir_all(&self.folder);
     }
 }
