A connection that brought garbage is ended once what came ahead is answered

Cause: src/net/viewers/mod.rs closed such a connection in the turn that read it (Part::turned), src/net/viewers/sends.rs (spurn) at once; requests whose attempts were out went with it.

Now both begin an orderly close: what is open is answered and written, then this side is ended. Behind garbage nothing is taken as a message any more.

--- a/src/net/viewers/caller.rs
+++ b/src/net/viewers/caller.rs
@@ -105,9 +105,13 @@
         read && !reading && !self.broken && self.heard_at < now
     }
 
-    /// Whether what comes on it is still taken as messages: at the process's end that is answered to the last.
+    /// Whether what comes on it is still taken as messages: behind what can't be read there are none.
     pub fn takes_messages(&self) -> bool {
-        matches!(self.stage, Stage::Open | Stage::Closing { why: CloseReason::End, .. })
+        match self.stage {
+            Stage::Open => true,
+            Stage::Closing { why, .. } => why != CloseReason::Malformed,
+            Stage::Finished { .. } => false,
+        }
     }
 
     /// Whether something can still be said on it.
--- a/src/net/viewers/closing.rs
+++ b/src/net/viewers/closing.rs
@@ -2,7 +2,7 @@
 //! written; then what the client still sends is read and dropped until it ends its own side. A socket that is
 //! closed with unread bytes is reset, and a reset takes back what the client has not read yet.
 use super::Viewers;
-use super::caller::{Caller, CloseReason, Stage};
+use super::caller::{CloseReason, Stage};
 use crate::director::{Director, ViewerLink};
 use crate::interface::Micros;
 use crate::net::part::Ready;
@@ -13,8 +13,10 @@
 
 /// How long a client has to end its side after this one has been ended.
 const LINGER_US: Micros = 500_000;
-/// A message that has begun is waited for so long at the process's end.
+/// A message that has begun is waited for so long on a connection that is to be ended.
 const PARTIAL_US: Micros = 60_000;
+/// What keeps coming on a connection at the process's end is answered for so long.
+const MORE_US: Micros = 1_500_000;
 
 impl Viewers {
     /// Reads all that waits as the grace period ends: the connections in the backlog, and what has come on
@@ -69,13 +71,14 @@
                 continue;
             };
             let open = director.on_link(ViewerLink(token)).0 > 0 || caller.line.unwritten() > 0;
-            let waits = since.saturating_add(PARTIAL_US) > shared.now;
-            let partial = |caller: &Caller| waits && caller.line.partial();
-            let takes = caller.takes_messages();
-            if open || takes && partial(caller) || takes && self.hears_more(shared, token) {
+            let within = |span: Micros| since.saturating_add(span) > shared.now;
+            let partial = caller.takes_messages() && within(PARTIAL_US);
+            let more = why == CloseReason::End && within(MORE_US);
+            if open || partial && caller.line.partial() || more && self.hears_more(shared, token) {
                 continue;
             }
-            if self.callers.get(&token).is_some_and(|caller| !takes || !partial(caller)) {
+            let begun = self.callers.get(&token).is_some_and(|caller| caller.line.partial());
+            if !(partial && begun) {
                 self.finish(shared, token, why);
             }
         }
--- a/src/net/viewers/mod.rs
+++ b/src/net/viewers/mod.rs
@@ -48,8 +48,6 @@
     kept: VecDeque<(Micros, Vec<u8>)>,
     /// Connections that are to be ended once nothing on them is open or unwritten.
     closing: BTreeSet<Token>,
-    /// With something that can't be read: closed when what came ahead of it has been answered.
-    ending: Vec<Token>,
     /// No connections are taken any more.
     shut: bool,
 }
@@ -65,7 +63,6 @@
             most,
             kept: VecDeque::new(),
             closing: BTreeSet::new(),
-            ending: Vec::new(),
             shut: false,
         })
     }
@@ -254,17 +251,19 @@
         if caller.line.partial() {
             caller.partial_since.get_or_insert(shared.now);
         }
+        caller.broken |= !matches!(got, Ok(Got::Bytes));
+        let broken = caller.broken;
         if let Some(why) = bad {
             shared.counters.malformed += 1;
             debug!(shared.log, "malformed message from viewers, connection closed: {why}");
-            self.ending.push(token);
+            caller.line.discard();
+            self.begin_close(shared, token, CloseReason::Malformed);
         }
         if let Err(why) = &got {
             debug!(shared.log, "a connection from viewers broke: {why}");
         }
         shared.heard.extend(whole.into_iter().map(|message| Heard::Viewer(ViewerLink(token), message)));
-        caller.broken |= !matches!(got, Ok(Got::Bytes));
-        if caller.broken {
+        if broken {
             shared.heard.push(Heard::Closed(token));
         } else if shown {
             self.deliver_kept(shared);
@@ -298,10 +297,4 @@
         }
         true
     }
-
-    /// Closes the connections with something that can't be read.
-    fn turned(&mut self, shared: &mut Shared) {
-        let ending = std::mem::take(&mut self.ending);
-        ending.into_iter().for_each(|token| self.close(shared, token, CloseReason::Malformed));
-    }
 }
--- a/src/net/viewers/sends.rs
+++ b/src/net/viewers/sends.rs
@@ -45,7 +45,7 @@
         caller.spurned += 1;
         if caller.spurned >= SPURNED_MOST {
             info!(shared.log, "nothing on a connection from viewers can be used, closed");
-            self.shed(shared, link.0, CloseReason::Unusable);
+            self.begin_close(shared, link.0, CloseReason::Unusable);
         }
     }
 
@@ -76,8 +76,7 @@
     /// Sends what ends a session on one connection; false where that is of no use any more. Should the
     /// connection break before the message has left whole, it is sent again on another.
     fn release_on(&mut self, shared: &mut Shared, token: Token, bytes: &[u8]) -> bool {
-        let closing = self.ending.contains(&token);
-        let Some(caller) = self.callers.get_mut(&token).filter(|c| c.takes_writes() && !closing) else {
+        let Some(caller) = self.callers.get_mut(&token).filter(|c| !c.broken && c.takes_messages()) else {
             return false;
         };
         caller.put(bytes, Some(Unsent::Release(bytes.to_vec())));
