Half a request on a connection due for closing is waited for

Cause: src/net/viewers/mod.rs, look and make_room, asked only whether a whole message had come. Now a connection that brings bytes counts as silent 1.5 s after the last of them (6 s after the first at most), and makes no room within 0.5 s of them; closes for silence end this side first.

--- a/src/net/line.rs
+++ b/src/net/line.rs
@@ -28,6 +28,8 @@
     written: usize,
     /// Bytes ever added to what is to be written.
     put_total: u64,
+    /// Bytes ever read.
+    read_total: u64,
 }
 
 impl Line {
@@ -62,7 +64,7 @@
 
     fn new(poll: &mut Poll, stream: TcpStream, writable: bool) -> io::Result<Self> {
         let socket = poll.watch(stream, writable)?;
-        Ok(Line { socket, inbox: Vec::new(), outbox: Vec::new(), written: 0, put_total: 0 })
+        Ok(Line { socket, inbox: Vec::new(), outbox: Vec::new(), written: 0, put_total: 0, read_total: 0 })
     }
 
     /// How the connecting ended.
@@ -89,6 +91,7 @@
                 Ok(n) => {
                     self.inbox.extend_from_slice(chunk.get(..n).unwrap_or_default());
                     total += n;
+                    self.read_total += n as u64;
                 }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
@@ -137,6 +140,11 @@
         shrink(&mut self.inbox);
     }
 
+    /// Bytes that have been read so far.
+    pub fn read_total(&self) -> u64 {
+        self.read_total
+    }
+
     /// Whether part of a message has been read.
     pub fn partial(&self) -> bool {
         !self.inbox.is_empty()
--- a/src/net/viewers/caller.rs
+++ b/src/net/viewers/caller.rs
@@ -8,6 +8,15 @@
 /// A connection without a session is closed by its viewer after 4 s; held longer it is closed from here.
 pub const IDLE_US: Micros = 6_000_000;
 
+/// Part of a message that has been read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Partial {
+    /// When its first bytes came.
+    pub since: Micros,
+    /// When its last bytes came.
+    pub at: Micros,
+}
+
 /// A message that has not left its connection whole, and must not be lost with it.
 pub enum Unsent {
     /// The answer that this session stands.
@@ -16,6 +25,12 @@
     Release(Vec<u8>),
 }
 
+/// By then a connection has said something that is answered, or is closed; the same holds for the next bytes of
+/// a message that has begun.
+pub const SILENT_US: Micros = 1_500_000;
+/// The next bytes of a message that has begun may take so long before its connection makes room for another.
+const PIECE_US: Micros = 500_000;
+
 /// Why a connection from viewers is closed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CloseReason {
@@ -61,8 +76,10 @@
     pub line: Line,
     pub since: Micros,
     pub heard_at: Micros,
-    /// Since when part of a message waits for the rest.
-    pub partial_since: Option<Micros>,
+    /// Bytes read, as of the last look.
+    read_total: u64,
+    /// The part of a message that waits for the rest.
+    pub partial: Option<Partial>,
     /// It is a viewer's: it brought a set-up, or sessions that play. What ends a session goes out on such
     /// ones alone, for the front asks on others whether the director takes clients, and reads nothing else.
     pub viewer: bool,
@@ -85,7 +102,8 @@
             line,
             since: now,
             heard_at: now,
-            partial_since: None,
+            read_total: 0,
+            partial: None,
             viewer: false,
             answered: false,
             stood: false,
@@ -96,10 +114,43 @@
         }
     }
 
+    /// Notes what a read has brought: bytes or none, whole messages among them or not.
+    pub fn heard(&mut self, now: Micros, whole: bool) {
+        let read = self.line.read_total();
+        if std::mem::replace(&mut self.read_total, read) == read {
+            return;
+        }
+        if whole {
+            self.heard_at = now;
+            self.partial = None;
+        }
+        if self.line.partial() {
+            let since = self.partial.map_or(now, |partial| partial.since);
+            self.partial = Some(Partial { since, at: now });
+        }
+    }
+
+    /// Whether it is to be closed if no request waits on it: its client has said nothing in its time, goes
+    /// no further with a message, or has had nothing on it for long.
+    pub fn overdue(&self, now: Micros, standing: usize) -> bool {
+        let over = |since: Micros, span: Micros| since.saturating_add(span) <= now;
+        match self.partial {
+            Some(partial) => over(partial.at, SILENT_US) || over(partial.since, IDLE_US),
+            None => {
+                let silent = !self.answered && over(self.since, SILENT_US);
+                silent || standing == 0 && over(self.heard_at, IDLE_US)
+            }
+        }
+    }
+
     /// Whether it may be closed for another one if no request waits on it: it had its time to bring
     /// something, what came on it in this turn has been answered, and its viewer is not in the middle of
-    /// reading.
+    /// reading or of bringing a message.
     pub fn may_make_room(&self, now: Micros) -> bool {
+        let writing = self.partial.is_some_and(|partial| partial.at.saturating_add(PIECE_US) > now);
+        if writing {
+            return false;
+        }
         let read = self.answered || self.since.saturating_add(FIRST_US) <= now;
         let reading = self.line.unwritten() > 0 && self.heard_at.saturating_add(IDLE_US) > now;
         read && !reading && !self.broken && self.heard_at < now
--- a/src/net/viewers/mod.rs
+++ b/src/net/viewers/mod.rs
@@ -11,7 +11,7 @@
 use crate::director::{Director, ViewerLink};
 use crate::interface::Micros;
 use crate::platform::viewer::{self, FromViewer};
-use caller::{Caller, CloseReason, FIRST_US, IDLE_US, Stage};
+use caller::{Caller, CloseReason, FIRST_US, SILENT_US, Stage};
 use slog::{debug, warn};
 use socket2::{Domain, Protocol, Socket, Type};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -23,9 +23,6 @@
 const ACCEPT_MOST: usize = 128;
 /// Pause of the listener when no descriptor is left, or no connection can make room yet.
 const ACCEPT_PAUSE_US: Micros = 20_000;
-/// By then a connection has said something that is answered, or is closed; the same holds for the rest of a
-/// message that has begun.
-const SILENT_US: Micros = 1_500_000;
 /// Connections that are looked at to make room for one, where messages keep coming on them.
 const ROOM_TRIES: usize = 16;
 /// Between further looks at a connection.
@@ -120,7 +117,8 @@
                 .filter(|(t, c)| director.on_link(ViewerLink(**t)).0 == 0 && c.may_make_room(shared.now));
             let least = least.min_by_key(|(_, c)| (c.stood, c.heard_at)).map(|(t, _)| *t);
             let Some(token) = least else { return false };
-            if !self.hears_more(shared, token) {
+            let more = self.hears_more(shared, token);
+            if !more && self.callers.get(&token).is_some_and(|c| c.may_make_room(shared.now)) {
                 self.shed(shared, token, CloseReason::Room);
                 return true;
             }
@@ -152,12 +150,13 @@
             Stage::Finished { .. } => return,
         }
         let (open, standing) = director.on_link(ViewerLink(token));
-        let over = |since: Micros, span: Micros| since.saturating_add(span) <= shared.now;
-        let held_back = caller.partial_since.is_some_and(|since| over(since, SILENT_US));
-        let silent = !caller.answered && over(caller.since, SILENT_US);
-        let idle = standing == 0 && over(caller.heard_at, IDLE_US);
-        if open == 0 && (silent || held_back || idle) && !self.hears_more(shared, token) {
-            return self.shed(shared, token, CloseReason::Silent);
+        let overdue = |caller: &Caller| caller.overdue(shared.now, standing);
+        if open == 0 && overdue(caller) {
+            let more = self.hears_more(shared, token);
+            if !more && self.callers.get(&token).is_some_and(|c| c.overdue(shared.now, standing)) {
+                shared.counters.viewers_shed += 1;
+                return self.finish(shared, token, CloseReason::Silent);
+            }
         }
         shared.wake(LOOK_US, Due::Viewer(token));
     }
@@ -242,15 +241,9 @@
             return;
         }
         let (whole, bad) = caller.line.take(viewer::read);
-        if !whole.is_empty() {
-            caller.heard_at = shared.now;
-            caller.partial_since = None;
-        }
+        caller.heard(shared.now, !whole.is_empty());
         let shown = !caller.viewer && whole.iter().any(|m| matches!(m, FromViewer::SetUp(_)));
         caller.viewer |= shown;
-        if caller.line.partial() {
-            caller.partial_since.get_or_insert(shared.now);
-        }
         caller.broken |= !matches!(got, Ok(Got::Bytes));
         let broken = caller.broken;
         if let Some(why) = bad {
