A release that overtakes its answer on another connection is told after it

Callers were told that a session stands and never that it was over (rule lost).

Streamers may say a release on any connection, also the next one opened, so it can be ahead of an answer on one that hangs.

Now it is kept, as that of a session not yet handed over is, and the session ends on both sides right after its answer.

--- a/crates/core/src/director/ledger/streamers.rs
+++ b/crates/core/src/director/ledger/streamers.rs
@@ -91,6 +91,7 @@
                 out.deeds.push(Deed::Attend(streamer));
                 let latency_us = now.saturating_sub(since);
                 out.events.push(Event::Started { request: id, streamer, latency_us });
+                self.end_released_early(id, streamer, out);
             }
             (_, Some(Stage::Standing { streamer: at, .. })) if at == streamer => out.counters.strays += 1,
             // An earlier attempt's, given up meanwhile. While another attempt is out at the same streamer a
@@ -103,6 +104,37 @@
         }
     }
 
+    /// Ends a session whose release came ahead of its answer, on another connection.
+    fn end_released_early(&mut self, id: RequestId, streamer: StreamerId, out: &mut Outbox) {
+        let Some(why) = self.released_early(id, streamer) else { return };
+        let over = if why == Over::Ended { Over::Ended } else { Over::Cut };
+        self.end_on_both_sides(id, over, out);
+    }
+
+    /// Takes a release that came before the session was known to stand.
+    pub(super) fn released_early(&mut self, id: RequestId, streamer: StreamerId) -> Option<Over> {
+        let at = self.early.iter().position(|early| (early.0, early.1) == (id, streamer))?;
+        self.early.remove(at).map(|early| early.2)
+    }
+
+    /// Keeps a release of a session that is not known to stand.
+    fn keep_early(&mut self, id: RequestId, streamer: StreamerId, why: Over) {
+        if self.early.len() >= EARLY_MOST {
+            self.early.pop_front();
+        }
+        self.early.push_back((id, streamer, why));
+    }
+
+    /// Ends a session that stands, towards its viewer and at its streamer.
+    pub(super) fn end_on_both_sides(&mut self, id: RequestId, why: Over, out: &mut Outbox) {
+        let Some(session) = self.sessions.get(&id) else { return };
+        let Stage::Standing { streamer, .. } = session.stage else { return };
+        out.released_of(session.link, id, why);
+        out.deeds.push(Deed::Drop(streamer, id));
+        let outcome = if why == Over::Ended { Outcome::Ok } else { Outcome::Reset };
+        self.over(id, streamer, outcome, LoadReport::default(), out);
+    }
+
     /// An attempt ended by a word of the streamer's.
     pub(super) fn attempt_over(
         &mut self,
@@ -197,10 +229,7 @@
     ) {
         let Some(session) = self.sessions.get(&id) else {
             out.counters.strays += 1;
-            if self.early.len() >= EARLY_MOST {
-                self.early.pop_front();
-            }
-            return self.early.push_back((id, from, why));
+            return self.keep_early(id, from, why);
         };
         match session.stage {
             Stage::Standing { streamer, .. } if streamer == from => {
@@ -212,6 +241,10 @@
                 out.released_of(session.link, id, why);
                 self.over(id, streamer, outcome, report, out);
             }
+            // It has overtaken the answer on another connection.
+            Stage::Out { streamer, .. } if streamer == from && number.is_none() => {
+                self.keep_early(id, from, why);
+            }
             Stage::Out { .. } => {
                 out.counters.broken += 1;
                 self.attempt_over(id, number, from, Outcome::Reset, report, out);
--- a/crates/core/src/director/ledger/viewers.rs
+++ b/crates/core/src/director/ledger/viewers.rs
@@ -67,8 +67,7 @@
             return; // it may name what is held already
         }
         out.counters.handed_over += 1;
-        if let Some(at) = self.early.iter().position(|e| (e.0, e.1) == (id, streamer)) {
-            let why = self.early.remove(at).map_or(Over::Cut, |e| e.2);
+        if let Some(why) = self.released_early(id, streamer) {
             return out.released_of(link, id, why);
         }
         if self.fleet.get(&streamer).is_none_or(|s| *s == Standing::Gone) {
