A session whose answer met its client's reset is released on both sides

A client that closed just before its answer reached it left the session standing: nobody was told, and its streamer played on.

Cause: src/net/viewers/sends.rs took an answer for passed on once the machine had its bytes; a reset a moment later showed that it had not been read, and was heard as the loss of a connection without open requests.

Now sessions answered within 0.5 s before a reset are ended at their streamer, and their client is told on any connection; the streamer is not blamed. Three tests of that file now wait until the director's machine has the client's end before they let it go on: the order they claim to force was not forced on a busy machine.

--- a/crates/core/src/director/ledger/mod.rs
+++ b/crates/core/src/director/ledger/mod.rs
@@ -216,6 +216,10 @@
                 open.into_iter().for_each(|id| self.viewer_left(link, id, out));
             }
             Input::Undelivered(id) => self.undelivered(id, out),
+            Input::Unread(id) => {
+                out.counters.undelivered += u64::from(self.holds(id));
+                self.end_on_both_sides(id, Over::Cut, Outcome::Canceled, out);
+            }
             Input::Stands { streamer, session, number, description } => {
                 self.stands(now, streamer, session, number, description, out);
             }
--- a/crates/core/src/director/ledger/streamers.rs
+++ b/crates/core/src/director/ledger/streamers.rs
@@ -107,8 +107,10 @@
     /// Ends a session whose release came ahead of its answer, on another connection.
     fn end_released_early(&mut self, id: RequestId, streamer: StreamerId, out: &mut Outbox) {
         let Some(why) = self.released_early(id, streamer) else { return };
-        let over = if why == Over::Ended { Over::Ended } else { Over::Cut };
-        self.end_on_both_sides(id, over, out);
+        match why {
+            Over::Ended => self.end_on_both_sides(id, Over::Ended, Outcome::Ok, out),
+            Over::Cut | Over::Left => self.end_on_both_sides(id, Over::Cut, Outcome::Reset, out),
+        }
     }
 
     /// Takes a release that came before the session was known to stand.
@@ -126,12 +128,11 @@
     }
 
     /// Ends a session that stands, towards its viewer and at its streamer.
-    pub(super) fn end_on_both_sides(&mut self, id: RequestId, why: Over, out: &mut Outbox) {
+    pub(super) fn end_on_both_sides(&mut self, id: RequestId, why: Over, outcome: Outcome, out: &mut Outbox) {
         let Some(session) = self.sessions.get(&id) else { return };
         let Stage::Standing { streamer, .. } = session.stage else { return };
         out.released_of(session.link, id, why);
         out.deeds.push(Deed::Drop(streamer, id));
-        let outcome = if why == Over::Ended { Outcome::Ok } else { Outcome::Reset };
         self.over(id, streamer, outcome, LoadReport::default(), out);
     }
 
--- a/crates/core/src/director/messages.rs
+++ b/crates/core/src/director/messages.rs
@@ -97,6 +97,9 @@
     LinkLost(ViewerLink),
     /// The answer that this session stands could not be passed on whole: its viewer's connection is gone.
     Undelivered(RequestId),
+    /// The answer that this session stands was written, and may not have been read: its viewer's connection
+    /// was reset right after it.
+    Unread(RequestId),
     /// A streamer answered that the session stands.
     Stands {
         /// Which streamer.
--- a/src/net/viewers/caller.rs
+++ b/src/net/viewers/caller.rs
@@ -40,6 +40,9 @@
 /// The next bytes of a message that has begun may take so long before its connection makes room for another.
 const PIECE_US: Micros = 500_000;
 
+/// An answer older than this was read before its connection was reset.
+const UNREAD_US: Micros = 500_000;
+
 /// Why a connection from viewers is closed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CloseReason {
@@ -103,6 +106,10 @@
     pub stage: Stage,
     /// It has ended or can't be written to, and is closed as soon as what came on it has been heard.
     pub broken: bool,
+    /// It was reset: what was written to it lately may never have been read.
+    pub reset: bool,
+    /// Sessions whose answers were written to it lately, oldest first.
+    answers: VecDeque<(Micros, RequestId)>,
     /// Messages that matter beyond this connection, each with the count of bytes at which it ends.
     unsent: VecDeque<(u64, Unsent)>,
 }
@@ -123,6 +130,8 @@
             spurned: 0,
             stage: Stage::Open,
             broken: false,
+            reset: false,
+            answers: VecDeque::new(),
             unsent: VecDeque::new(),
         }
     }
@@ -195,6 +204,20 @@
         self.unsent.extend(matters.map(|message| (end, message)));
     }
 
+    /// Notes that the answer to a request is put on it.
+    pub fn answers(&mut self, now: Micros, id: RequestId) {
+        while self.answers.front().is_some_and(|(at, _)| at.saturating_add(UNREAD_US) <= now) {
+            self.answers.pop_front();
+        }
+        self.answers.push_back((now, id));
+    }
+
+    /// Sessions whose answers a reset may have kept from being read.
+    pub fn unread(&self, now: Micros) -> Vec<RequestId> {
+        let lately = self.answers.iter().filter(|(at, _)| self.reset && at.saturating_add(UNREAD_US) > now);
+        lately.map(|(_, id)| *id).collect()
+    }
+
     /// The messages that matter and have not left whole.
     pub fn into_unsent(self) -> impl Iterator<Item = Unsent> {
         let written = self.line.written_total();
--- a/src/net/viewers/mod.rs
+++ b/src/net/viewers/mod.rs
@@ -229,12 +229,13 @@
         let Some(caller) = self.callers.get_mut(&token) else { return };
         if writable && let Err(why) = caller.line.write() {
             debug!(shared.log, "a connection from viewers broke: {why}");
-            caller.broken = true; // what came on it before is still heard
+            (caller.broken, caller.reset) = (true, true); // what came on it before is still heard
         }
         if !readable && !caller.broken {
             return self.resume_reading(shared, token);
         }
         let got = caller.line.read();
+        caller.reset |= got.is_err();
         if !caller.takes_messages() {
             caller.line.discard();
             caller.broken |= !matches!(got, Ok(Got::Bytes));
--- a/src/net/viewers/sends.rs
+++ b/src/net/viewers/sends.rs
@@ -37,6 +37,7 @@
         };
         (caller.stood, caller.spurned) = (true, 0);
         caller.put(bytes, Some(Unsent::Answer(id)));
+        caller.answers(shared.now, id);
         self.write_out(shared, link.0);
     }
 
@@ -95,6 +96,7 @@
             Ok(_) => self.stall(shared, token),
             Err(why) => {
                 debug!(shared.log, "a connection from viewers broke: {why}");
+                caller.reset = true;
                 self.broke(shared, token);
             }
         }
@@ -156,12 +158,14 @@
         debug!(shared.log, "a connection from viewers is closed"; "connection" => token,
             "why" => ?why, "unwritten" => caller.line.unwritten());
         shared.inputs.push(Input::LinkLost(ViewerLink(token)));
+        let unread = caller.unread(shared.now);
         for unsent in caller.into_unsent() {
             match unsent {
                 Unsent::Answer(id) => shared.inputs.push(Input::Undelivered(id)),
                 Unsent::Release(bytes) => self.release(shared, ViewerLink(token), bytes),
             }
         }
+        shared.inputs.extend(unread.into_iter().map(Input::Unread)); // not those that never left: they are over
     }
 
     pub(super) fn deliver_kept(&mut self, shared: &mut Shared) {
--- a/tests/closes.rs
+++ b/tests/closes.rs
@@ -32,7 +32,7 @@
     let rig = Rig::with_door_and(&common::patient());
     let (viewer, _filler) = waiting_for_a_connection(&rig, 0xc1, "replay");
     rig.stop();
-    drop(viewer);
+    rig.close(viewer);
     drop(accept(&rig.streamer)); // the one that filled the queue
     let mut streamer = rig.streamer(); // the director's comes up while it stands still
     rig.go_on();
@@ -86,7 +86,7 @@
     read_rtsp(&mut streamer);
     rig.stop();
     streamer.write_all(&stands(0xc6, "answer")).expect("written");
-    drop(viewer);
+    rig.close(viewer);
     rig.go_on();
     let mut other = rig.viewer();
     other.write_all(&set_up(0xc7, "replay")).expect("written");
@@ -95,6 +95,26 @@
     assert!(is_for(&read_rtsp(&mut streamer), 0xc7));
 }
 
+/// The answer had been written when its viewer reset the connection without having read it: the session was left
+/// standing with nobody to end it. A viewer that had read it hears of the end.
+#[test]
+fn a_session_whose_answer_was_not_read_before_a_reset_is_released_on_both_sides() {
+    let rig = Rig::with_door();
+    let mut viewer = rig.viewer();
+    viewer.write_all(&set_up(0xcc, "replay")).expect("written");
+    let mut streamer = rig.streamer();
+    read_rtsp(&mut streamer);
+    let mut other = rig.viewer();
+    other.write_all(&set_up(0xcd, "unheard-of")).expect("written");
+    assert_eq!(hear(&mut other).1, 0xcd, "a viewer's connection, too");
+    streamer.write_all(&stands(0xcc, "answer")).expect("written");
+    viewer.peek(&mut [0]).expect("the answer is there");
+    drop(viewer); // with the answer unread: a reset
+    let first = read_rtsp(&mut streamer);
+    assert!(first.starts_with("TEARDOWN") && is_for(&first, 0xcc), "{first}");
+    assert_eq!(hear(&mut other), (12, 0xcc, vec![58, 0, 1, 41]));
+}
+
 /// The viewer left while the request was out: the attempt is cancelled, and an answer that crosses that is
 /// released, whichever comes first.
 #[test]
@@ -105,7 +125,7 @@
     let mut streamer = rig.streamer();
     read_rtsp(&mut streamer);
     rig.stop();
-    drop(viewer);
+    rig.close(viewer);
     streamer.write_all(&stands(0xc8, "answer")).expect("written");
     rig.go_on();
     let ended = read_rtsp(&mut streamer);
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -17,6 +17,8 @@
 pub use half_written::{HalfWritten, half_written};
 
 pub const LONG: Duration = Duration::from_secs(30);
+/// The state of a connection whose other side has ended, in the kernel's table.
+const CLOSE_WAIT: &str = "08";
 /// Sets the level of the directors' logs, which a test that fails prints.
 const LOG_LEVEL: &str = "STONEWHARF_TEST_LOG";
 static NEXT: AtomicU64 = AtomicU64::new(1);
@@ -144,6 +146,22 @@
         until("it stands still", || state().rsplit(')').next().is_some_and(|rest| rest.starts_with(" T")));
     }
 
+    /// Closes a viewer's connection, and returns once the director's machine has its end: the two are on loopback,
+    /// but on a busy machine what one side sends may reach the other later.
+    pub fn close(&self, viewer: TcpStream) {
+        let port = |at: SocketAddr| format!(":{:04X}", at.port());
+        let (here, there) = (port(self.at), port(viewer.local_addr().expect("bound")));
+        drop(viewer);
+        let came = |line: &str| {
+            let words: Vec<&str> = line.split_whitespace().collect();
+            let at = |index: usize| words.get(index).copied().unwrap_or_default();
+            at(1).ends_with(&here) && at(2).ends_with(&there) && at(3) == CLOSE_WAIT
+        };
+        until("its end came", || {
+            std::fs::read_to_string("/proc/net/tcp").expect("it is there").lines().any(came)
+        });
+    }
+
     /// Lets a stopped process go on.
     pub fn go_on(&self) {
         self.signal("-CONT");
