A release stays behind its answer on a connection that is being ended

Callers heard that a session was over before, or at the same moment as, the answer that it stands: one request with two answers (rule lost).

Cause: src/net/viewers/sends.rs, release_on, did not use a connection that is being ended behind garbage, though the answer had just been written to it; the release went out on another connection and overtook it. Now a session's own connection is used as long as it can be written to.

--- a/src/net/viewers/sends.rs
+++ b/src/net/viewers/sends.rs
@@ -59,13 +59,14 @@
         self.write_out(shared, link.0);
     }
 
-    /// Sends what ends a session: on its own connection, else on any, else on the next that comes.
+    /// Sends what ends a session: on its own connection, else on any, else on the next that comes. As long as
+    /// its own can be written to no other is used, on which it could overtake the answer.
     pub fn release(&mut self, shared: &mut Shared, link: ViewerLink, bytes: Vec<u8>) {
         if self.release_on(shared, link.0, &bytes) {
             return;
         }
         // Only on those that are known for viewers': one that has brought nothing yet may be the front's.
-        let others = self.callers.iter().filter(|(_, c)| c.viewer);
+        let others = self.callers.iter().filter(|(_, c)| c.viewer && c.takes_messages());
         let mut others: Vec<_> = others.map(|(t, c)| (c.stood, c.heard_at, *t)).collect();
         others.sort_unstable_by(|a, b| b.cmp(a));
         if others.into_iter().any(|other| self.release_on(shared, other.2, &bytes)) {
@@ -79,9 +80,7 @@
     /// Sends what ends a session on one connection; false where that is of no use any more. Should the
     /// connection break before the message has left whole, it is sent again on another.
     fn release_on(&mut self, shared: &mut Shared, token: Token, bytes: &[u8]) -> bool {
-        let Some(caller) = self.callers.get_mut(&token).filter(|c| !c.broken && c.takes_messages()) else {
-            return false;
-        };
+        let Some(caller) = self.callers.get_mut(&token).filter(|c| c.takes_writes()) else { return false };
         caller.put(bytes, Some(Unsent::Release(bytes.to_vec())));
         self.write_out(shared, token);
         true
--- a/tests/request_ends.rs
+++ b/tests/request_ends.rs
@@ -5,11 +5,14 @@
 use rig::*;
 use std::io::{Read, Write};
 use std::net::TcpStream;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// By then a connection that has said nothing whole is closed.
 const SILENT: Duration = Duration::from_millis(1_500);
 
+/// A session that is over at its streamer is released to its client within this.
+const RELEASED: Duration = Duration::from_secs(1);
+
 fn ends(viewer: &mut TcpStream) {
     assert_eq!(viewer.read(&mut [0; 64]).unwrap_or(0), 0, "ended, and nothing more said");
 }
@@ -28,6 +31,26 @@
     ends(&mut viewer);
 }
 
+/// The session was over as soon as it stood, and its release went out on another connection than its answer.
+#[test]
+fn a_release_right_behind_its_answer_is_on_the_same_connection_though_that_is_being_ended() {
+    let rig = Rig::start();
+    let mut other = rig.viewer();
+    other.write_all(&set_up(0x20f, "unheard-of")).expect("written");
+    assert_eq!(hear(&mut other).1, 0x20f, "it could be told, too");
+    let mut viewer = rig.viewer();
+    let garbage = [0, 3, 1, 2, 3];
+    viewer.write_all(&[&set_up(0x202, "replay")[..], &garbage].concat()).expect("written");
+    let mut streamer = rig.streamer();
+    read_rtsp(&mut streamer);
+    streamer.write_all(&[stands(0x202, "answer"), over(0x202)].concat()).expect("written");
+    for kind in [9, 12] {
+        let heard = hear(&mut viewer);
+        assert_eq!((heard.0, heard.1), (kind, 0x202));
+    }
+    ends(&mut viewer);
+}
+
 #[test]
 fn a_request_beside_too_many_unusable_ones_gets_its_answer() {
     let rig = Rig::start();
@@ -124,3 +147,27 @@
     let (kind, id, parameters) = hear(&mut viewer);
     assert_eq!((kind, id, parameters), (12, 0x241, vec![58, 0, 1, 16]), "and its end");
 }
+
+/// A release was lost with the connection that brought something unreadable. Streamers say it again on the next one
+/// that is opened; none was, since another one was open.
+#[test]
+fn a_release_lost_with_a_spoilt_connection_is_asked_for_on_a_new_one() {
+    let one_each = common::SETTINGS.replace(r#""multiplex": 32"#, r#""multiplex": 1"#);
+    let rig = Rig::with_door_and(&one_each);
+    let mut viewer = rig.viewer();
+    viewer.write_all(&set_up(0x251, "replay")).expect("written");
+    let mut first = rig.streamer();
+    read_rtsp(&mut first);
+    viewer.write_all(&set_up(0x252, "replay")).expect("written");
+    let mut second = rig.streamer();
+    read_rtsp(&mut second);
+    first.write_all(&stands(0x251, "answer")).expect("written");
+    assert_eq!(hear(&mut viewer).0, 9);
+    first.write_all(&[b"SPOILT\r\n\r\n".to_vec(), over(0x251)].concat()).expect("written");
+    let spoilt = Instant::now();
+    let mut third = rig.streamer();
+    assert!(spoilt.elapsed() < RELEASED, "begun within the time of a release");
+    third.write_all(&over(0x251)).expect("written");
+    let (kind, id, parameters) = hear(&mut viewer);
+    assert_eq!((kind, id, parameters), (12, 0x251, vec![58, 0, 1, 16]), "its end");
+}
