A release lost with a spoilt connection is heard on a new one within its time

Callers were told late, or not while they watched, that a session was over (rule lost).

Cause: a streamer's connection that brought something unreadable, or was reset, is closed with what came behind; streamers say a release again on the next connection that is opened, and none was opened while another one was up (src/net/streamers/ways.rs, watch). Now the watch begins one when a connection was cut and sessions stand there.

--- a/src/net/streamers/exchange.rs
+++ b/src/net/streamers/exchange.rs
@@ -60,6 +60,7 @@
         let streamer = self.links.get(&token).map(|l| l.streamer.0);
         debug!(shared.log, "connection broke: {why}"; "streamer" => streamer);
         self.read(shared, token);
+        self.links.get_mut(&token).into_iter().for_each(|link| link.cut = true);
         self.down(shared, token);
     }
 
@@ -78,7 +79,7 @@
             shared.counters.malformed += 1;
             let streamer = link.streamer.0;
             warn!(shared.log, "malformed message, connection closed: {why}"; "streamer" => streamer);
-            link.spoilt = true;
+            (link.spoilt, link.cut) = (true, true);
             return self.down(shared, token);
         }
         match got {
@@ -86,6 +87,7 @@
             Ok(Got::End) => self.down(shared, token),
             Err(why) => {
                 debug!(shared.log, "connection broke: {why}"; "streamer" => link.streamer.0);
+                link.cut = true;
                 self.down(shared, token);
             }
         }
@@ -165,6 +167,7 @@
         }
         let Some(pool) = self.pools.get_mut(&streamer) else { return };
         pool.links.remove(&token);
+        pool.cut |= link.cut;
         // One that was cut in the middle was not understood; a whole one said again does no harm.
         if let Some(Writing::Word(bytes, acts)) = link.writing {
             pool.unsaid.push_back((shared.now, bytes, acts));
--- a/src/net/streamers/link.rs
+++ b/src/net/streamers/link.rs
@@ -47,6 +47,8 @@
     pub heard_at: Micros,
     /// Something came on it that can't be read.
     pub spoilt: bool,
+    /// It ended with what its streamer wrote last perhaps unread: by a reset, or behind what can't be read.
+    pub cut: bool,
 }
 
 impl Link {
--- a/src/net/streamers/mod.rs
+++ b/src/net/streamers/mod.rs
@@ -50,6 +50,8 @@
     heard_at: Micros,
     failing_since: Option<Micros>,
     refused: bool,
+    /// A connection was cut since the last one was begun: a release may have been lost with it.
+    cut: bool,
     dial_at: Micros,
 }
 
--- a/src/net/streamers/ways.rs
+++ b/src/net/streamers/ways.rs
@@ -59,6 +59,7 @@
         }
         let pool = self.pools.get_mut(&streamer).ok_or(Unsent::Withdrawn)?;
         pool.dial_at = shared.now.saturating_add(REDIAL_US);
+        pool.cut = false;
         let line = match Line::dial(&mut shared.poll, pool.address.ok_or(Unsent::Withdrawn)?) {
             Ok(line) => line,
             Err(why) if why.kind() == io::ErrorKind::ConnectionRefused => {
@@ -86,6 +87,7 @@
             used_at: shared.now,
             heard_at: 0,
             spoilt: false,
+            cut: false,
         };
         self.links.insert(token, link);
         shared.counters.streamer_connections += 1;
@@ -162,7 +164,9 @@
             }
             let words = !pool.unsaid.is_empty() && pool.dial_at.saturating_add(REDIAL_WORDS_US) <= now;
             let unattended = pool.links.is_empty() && (sessions || words);
-            if !dialing && (unattended || silent) && pool.dial_at <= now {
+            // A streamer says releases again on the next connection, and there alone.
+            let cut = sessions && pool.cut;
+            if !dialing && (unattended || silent || cut) && pool.dial_at <= now {
                 let _ = self.dial(shared, streamer); // the next watch tries again
             }
         }
