A connection that makes room for another is read first, and replaced where sessions stand

Callers were not told in time that a session was over (rule lost).

Cause: src/net/streamers/ways.rs, dial, closed an unused connection to a streamer when all were taken, without reading what had come on it, also where sessions of that streamer stood; a release that crossed the close is said again on the next connection alone, and none was opened while another one was up. Now it is read first and counts as cut, so that the watch begins a new one. No test forces this order yet: an attempt at one did not fill the table and was left out.

--- a/src/net/streamers/ways.rs
+++ b/src/net/streamers/ways.rs
@@ -55,7 +55,7 @@
             };
             let oldest = self.links.values().filter(unused).min_by_key(|l| l.used_at);
             let oldest = oldest.map(|l| l.line.token()).ok_or(Unsent::Withdrawn)?;
-            self.down(shared, oldest);
+            self.make_room(shared, oldest);
         }
         let pool = self.pools.get_mut(&streamer).ok_or(Unsent::Withdrawn)?;
         pool.dial_at = shared.now.saturating_add(REDIAL_US);
@@ -95,6 +95,13 @@
         Ok(token)
     }
 
+    /// Closes a connection for another one. A release that crosses the close is said again on a new one.
+    fn make_room(&mut self, shared: &mut Shared, token: Token) {
+        self.read(shared, token);
+        self.links.get_mut(&token).into_iter().for_each(|link| link.cut = true);
+        self.down(shared, token);
+    }
+
     pub(super) fn dial_failed(
         &mut self,
         shared: &mut Shared,
