--- a/tests/request_ends.rs
+++ b/tests/request_ends.rs
@@ -171,3 +171,48 @@
     let (kind, id, parameters) = hear(&mut viewer);
     assert_eq!((kind, id, parameters), (12, 0x251, vec![58, 0, 1, 16]), "its end");
 }
+
+/// The same with one that was closed to make room for a connection to a streamer, where all others are in use.
+#[test]
+fn a_release_lost_with_a_connection_that_made_room_is_asked_for_on_a_new_one() {
+    let one_each = common::patient().replace(r#""multiplex": 4096"#, r#""multiplex": 1"#);
+    let rig = Rig::with_door_and(&one_each);
+    let mut viewer = rig.viewer();
+    viewer.write_all(&set_up(0x261, "replay")).expect("written");
+    let mut first = rig.streamer();
+    read_rtsp(&mut first);
+    first.write_all(&stands(0x261, "answer")).expect("written");
+    assert_eq!(hear(&mut viewer).0, 9);
+    // One more on the same connection, and one each on all others that there may be.
+    let mut asked = 0;
+    while rig.figure("withdrawn") == 0 {
+        viewer.write_all(&set_up(0x1000 + asked, "replay")).expect("written");
+        asked += 1;
+        until("it is sent", || rig.figure("relayed") == asked + 1 || rig.figure("withdrawn") > 0);
+    }
+    assert_eq!(hear(&mut viewer).0, 12, "the last one found no connection");
+    read_rtsp(&mut first);
+    first.write_all(&stands(0x1000, "answer")).expect("written");
+    assert_eq!(hear(&mut viewer).0, 9);
+    let mut others: Vec<TcpStream> = (2..asked).map(|_| rig.streamer()).collect();
+    // The next one goes to another streamer, whose connection needs a place.
+    let next = listener();
+    let at = |of: &std::net::TcpListener| of.local_addr().expect("bound");
+    let members = [member("s-1", at(&rig.streamer), "terminating"), member("s-2", at(&next), "in_service")];
+    let mut discovery = accept(&rig.bulletin);
+    let event = format!(r#"{{"no":2,"roster":{{"members":[{}]}}}}"#, members.join(","));
+    discovery.write_all(format!("{event}\n").as_bytes()).expect("written");
+    until("it is in the list", || rig.figure("registry_entries") == 2);
+    viewer.write_all(&set_up(0x2000, "replay")).expect("written");
+    let _other_streamer = accept(&next);
+    ends(&mut first);
+    let mut second = others.remove(0);
+    read_rtsp(&mut second);
+    second.write_all(&stands(0x1001, "answer")).expect("written"); // a place for a new one
+    let answered = Instant::now();
+    let mut another = rig.streamer();
+    assert!(answered.elapsed() < RELEASED, "begun within the time of a release");
+    another.write_all(&over(0x261)).expect("written");
+    assert_eq!(hear(&mut viewer).1, 0x1001);
+    assert_eq!(hear(&mut viewer), (12, 0x261, vec![58, 0, 1, 16]), "its end");
+}
--- a/tests/soak/streamers.rs
+++ b/tests/soak/streamers.rs
@@ -134,13 +134,15 @@
         self.said.clear();
     }
 
+    /// Listens at its addresses again. One may be taken for a moment by an outgoing connection: tried again then.
     fn listen(&mut self) {
         for at in &self.at {
             let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None);
             let socket = socket.expect("a socket");
             socket.set_reuse_address(true).expect("set");
-            socket.bind(&(*at).into()).expect("its own address");
-            socket.listen(128).expect("listens");
+            if socket.bind(&(*at).into()).is_err() || socket.listen(128).is_err() {
+                return self.listeners.clear();
+            }
             socket.set_nonblocking(true).expect("set");
             self.listeners.push(socket.into());
         }
