--- a/src/net/viewers/caller.rs
+++ b/src/net/viewers/caller.rs
@@ -34,8 +34,8 @@
     Release(Vec<u8>),
 }
 
-/// By then a connection has said something that is answered, or is closed; the same holds for the next bytes of
-/// a message that has begun.
+/// By then a connection has said something that is answered, or is closed; the same holds for the next bytes
+/// of a message that has begun.
 pub const SILENT_US: Micros = 1_500_000;
 /// The next bytes of a message that has begun may take so long before its connection makes room for another.
 const PIECE_US: Micros = 500_000;
