--- a/src/net/viewers/sends.rs
+++ b/src/net/viewers/sends.rs
@@ -105,7 +105,8 @@
     fn stall(&mut self, shared: &mut Shared, token: Token) {
         let Some(caller) = self.callers.get_mut(&token).filter(|c| c.stalled.is_none()) else { return };
         shared.counters.overfull += 1;
-        warn!(shared.log, "viewers do not read, nothing is taken from their connection"; "connection" => token);
+        warn!(shared.log, "viewers do not read, nothing is taken from their connection";
+            "connection" => token);
         caller.stalled = Some(Stall { since: shared.now, written: caller.line.written_total() });
         if caller.line.watch_reads(false).is_err() {
             self.broke(shared, token);
@@ -164,7 +165,8 @@
                 Unsent::Release(bytes) => self.release(shared, ViewerLink(token), bytes),
             }
         }
-        shared.inputs.extend(unread.into_iter().map(Input::Unread)); // not those that never left: they are over
+        // Those that never left are over by then.
+        shared.inputs.extend(unread.into_iter().map(Input::Unread));
     }
 
     pub(super) fn deliver_kept(&mut self, shared: &mut Shared) {
