--- a/review/1/main.rs
+++ b/review/1/main.rs
@@ -110,5 +110,5 @@
         cannot_run("too few requests came through");
     }
     println!("{broken} of {SESSIONS} paid sessions were set up again while an earlier set-up ran");
-    std::process::exit(i32::from(broken > 0));
+    finish(i32::from(broken > 0));
 }
--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -11,6 +11,10 @@
 export ROOT CASE_TMP RECORD
 timeout -k 2 110 "$program"
 status=$?
+# Directors that a run which was cut short has left behind.
+for pid in $(cat "$CASE_TMP/pids" 2>/dev/null); do
+  grep -qs stonewharf "/proc/$pid/cmdline" && kill -KILL "$pid"
+done
 [ -f "$CASE_TMP/director.log" ] && { echo; echo "log of the director:"; cat "$CASE_TMP/director.log"; } >> "$RECORD"
 rm -rf "$CASE_TMP"
 case $status in 0|1) exit $status ;; *) exit 2 ;; esac
--- a/review/rig/rig.rs
+++ b/review/rig/rig.rs
@@ -36,7 +36,19 @@
 pub fn cannot_run(why: &str) -> ! {
     note(&format!("the case could not run: {why}"));
     eprintln!("the case could not run: {why}");
-    std::process::exit(2)
+    finish(2)
+}
+
+static DIRECTORS: Mutex<Vec<Arc<Mutex<Child>>>> = Mutex::new(Vec::new());
+
+/// Ends all processes that were started, then the run.
+pub fn finish(status: i32) -> ! {
+    for child in DIRECTORS.lock().map(|d| d.clone()).unwrap_or_default() {
+        if let Ok(mut child) = child.lock() {
+            let _ = (child.kill(), child.wait());
+        }
+    }
+    std::process::exit(status)
 }
 
 /// Whether the run has its disruption (not with TROUBLE=0).
@@ -170,11 +182,13 @@
 }
 
 /// A director process; killed when dropped.
-pub struct Director(pub Child);
+pub struct Director(Arc<Mutex<Child>>, u32);
 
 impl Drop for Director {
     fn drop(&mut self) {
-        let _ = (self.0.kill(), self.0.wait());
+        if let Ok(mut child) = self.0.lock() {
+            let _ = (child.kill(), child.wait());
+        }
     }
 }
 
@@ -195,16 +209,22 @@
         let mut command = Command::new("/bin/sh");
         command.arg("-c").arg(&run).current_dir(root()).stdin(stdin).stdout(Stdio::null()).stderr(log);
         command.env("TMPDIR", dir).envs(env.iter().map(|(k, v)| (*k, v.as_str())));
-        Director(command.spawn().unwrap_or_else(|why| cannot_run(&why.to_string())))
+        let child = command.spawn().unwrap_or_else(|why| cannot_run(&why.to_string()));
+        let id = child.id();
+        let pids = std::fs::OpenOptions::new().create(true).append(true).open(format!("{dir}/pids"));
+        let _ = pids.and_then(|mut file| writeln!(file, "{id}"));
+        let child = Arc::new(Mutex::new(child));
+        DIRECTORS.lock().expect("directors").push(Arc::clone(&child));
+        Director(child, id)
     }
 
     pub fn signal(&self, name: &str) {
-        note(&format!("SIG{name} to process {}", self.0.id()));
-        let _ = Command::new("/bin/sh").arg("-c").arg(format!("kill -{name} {}", self.0.id())).status();
+        note(&format!("SIG{name} to process {}", self.1));
+        let _ = Command::new("/bin/sh").arg("-c").arg(format!("kill -{name} {}", self.1)).status();
     }
 
     pub fn has_ended(&mut self) -> bool {
-        self.0.try_wait().is_ok_and(|status| status.is_some())
+        self.0.lock().is_ok_and(|mut child| child.try_wait().is_ok_and(|status| status.is_some()))
     }
 }
 
