--- a/review/rig/rig.rs
+++ b/review/rig/rig.rs
@@ -218,6 +218,11 @@
         Director(child, id)
     }
 
+    /// Puts the process on one core.
+    pub fn pin(&self, core: &str) {
+        pin(self.1, core);
+    }
+
     pub fn signal(&self, name: &str) {
         note(&format!("SIG{name} to process {}", self.1));
         let _ = Command::new("/bin/sh").arg("-c").arg(format!("kill -{name} {}", self.1)).status();
@@ -242,3 +247,50 @@
     }
     cannot_run("no director is ready after 20 s")
 }
+
+/// Whether a process says yes to `GET /_ready`.
+pub fn ready(admin: SocketAddr) -> bool {
+    let Ok(mut stream) = TcpStream::connect_timeout(&admin, Duration::from_secs(1)) else { return false };
+    let _ = stream.set_read_timeout(Some(Duration::from_secs(1)));
+    let _ = write!(stream, "GET /_ready HTTP/1.1\r\nHost: director\r\n\r\n");
+    let mut head = [0; 12];
+    stream.read_exact(&mut head).is_ok() && head.starts_with(b"HTTP/1.1 2")
+}
+
+/// Waits for that yes, which is due within 6 s.
+pub fn wait_yes(admin: SocketAddr) {
+    let until = Instant::now() + Duration::from_secs(6);
+    while !ready(admin) {
+        if Instant::now() > until {
+            cannot_run("the new process is not ready");
+        }
+        sleep_ms(5);
+    }
+    note("the new process says yes to /_ready");
+}
+
+/// Puts a process that this run started on these cores.
+pub fn pin(process: u32, cores: &str) {
+    let arguments = ["-a", "-p", "-c", cores, &process.to_string()];
+    let done = Command::new("taskset").args(arguments).stdout(Stdio::null()).status();
+    if !done.is_ok_and(|status| status.success()) {
+        cannot_run("taskset does not work");
+    }
+}
+
+/// The cores that this process may use.
+pub fn cores() -> Vec<u32> {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let list =
+        status.lines().find_map(|l| l.strip_prefix("Cpus_allowed_list:")).unwrap_or("0").trim().to_owned();
+    let part = |part: &str| {
+        let (low, high) = part.split_once('-').unwrap_or((part, part));
+        low.parse().unwrap_or(0)..=high.parse().unwrap_or(0)
+    };
+    list.split(',').flat_map(part).collect()
+}
+
+/// Registers a further process of this run, to be ended with it.
+pub fn register(child: Child) {
+    DIRECTORS.lock().expect("directors").push(Arc::new(Mutex::new(child)));
+}
