Closing a connection counts the messages that the ledger has not processed yet

Hypotheses: the check of a new connection (H1), eviction for room (H2), malformed input (H3), or the answer lost on its way (H4). The log at level debug, with the crossing forced, says "shut down for writing, why: Silent": H1; on a replaced process "why: Drain", the same in close_idle_connections.

Cause: a turn reads its sockets, then runs its deadlines, and hands what was read to the ledger last. check_connection and close_idle_connections asked the ledger for open requests in between, and it did not know the request that the same turn had read. It was no longer a partial message either, and nothing had been answered: "silent".

Fix: Viewers keeps the connections whose messages the ledger has not processed (`unprocessed`, emptied after each run of the core). All closes by the director's own decision (check, eviction, sending away, the end of a closing connection) pass `is_in_use`, which asks the ledger and `unprocessed`, before and after a last read (`must_stay_open`). It holds whenever the question is asked, in whatever order a turn does its work; a debug assertion in shut_down_write and close holds it. Eviction's "no message in this very turn" is replaced by it, which also covers messages left over from a turn with too many rounds. A connection closed for unusable set-ups is read once more, too, as it was at shutdown.

--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -143,6 +143,7 @@
                 self.components.streamers.flush(&mut self.shared);
             }
             if self.shared.inputs.is_empty() {
+                self.components.viewers.record_processed();
                 break;
             }
             let mut inputs = std::mem::take(&mut self.shared.inputs);
@@ -152,6 +153,7 @@
             }
             self.log_lost_requests(&inputs);
             let outputs = self.run_core(inputs);
+            self.components.viewers.record_processed();
             for output in outputs.iter().filter(|_| self.tracing).filter_map(trace::describe_output) {
                 trace!(self.shared.log, "out"; "deed" => output);
             }
--- a/src/net/viewers/closing.rs
+++ b/src/net/viewers/closing.rs
@@ -1,11 +1,14 @@
-//! Graceful close of viewer connections.
+//! Close of viewer connections by the director's own decision, and graceful close.
+//!
+//! What the ledger knows of a connection lags behind what was read on it: messages wait among the events and
+//! inputs of a turn. Every decision to close therefore asks [`Viewers::is_in_use`], which counts them.
 //!
 //! A connection is shut down for writing once all requests received on it are answered and the answers
 //! written. Data that the client still sends is then read and discarded until the client closes its side.
 //! Closing a socket with unread data would reset the connection, and a reset discards data that the client
 //! has not read yet.
 use super::Viewers;
-use super::connection::{CloseReason, ConnectionState};
+use super::connection::{CloseReason, ConnectionState, ViewerConnection};
 use crate::director::{Director, ViewerLink};
 use crate::interface::Micros;
 use crate::net::component::Ready;
@@ -18,7 +21,7 @@
 const PEER_CLOSE_TIMEOUT_US: Micros = 500_000;
 /// Time for a partly received message to be completed on a connection that is to be closed.
 const PARTIAL_MESSAGE_WAIT_US: Micros = 60_000;
-/// Time during which messages that keep arriving on a connection at shutdown are still answered.
+/// Time during which messages that keep arriving on a connection that is to be closed are still answered.
 const SHUTDOWN_READ_LIMIT_US: Micros = 1_500_000;
 
 impl Viewers {
@@ -67,6 +70,41 @@
         self.closing.insert(token);
     }
 
+    /// Returns whether a connection must not be closed now by the director's decision: a request on it is
+    /// open, a message on it was read that the ledger has not processed yet, or it has ended already and its
+    /// end waits to be processed.
+    pub(super) fn is_in_use(&self, director: &Director, token: Token) -> bool {
+        let Some(connection) = self.connections.get(&token) else { return true };
+        self.unprocessed.contains(&token)
+            || director.requests_and_sessions_on(ViewerLink(token)).0 > 0
+            || connection.broken
+    }
+
+    /// Reads what has arrived on a connection that is about to be closed because of a condition. Returns
+    /// whether it must stay open: it is in use, or the condition does not hold, before or after the read.
+    pub(super) fn must_stay_open(
+        &mut self,
+        shared: &mut Shared,
+        director: &Director,
+        token: Token,
+        condition: impl Fn(&ViewerConnection, Micros) -> bool,
+    ) -> bool {
+        let stays_open = |viewers: &Viewers, shared: &Shared| {
+            viewers.is_in_use(director, token)
+                || viewers.connections.get(&token).is_none_or(|c| !condition(c, shared.now))
+        };
+        if stays_open(self, shared) {
+            return true;
+        }
+        self.read_and_write(shared, Ready { token, readable: true, writable: false });
+        stays_open(self, shared)
+    }
+
+    /// Records that the ledger has processed all messages read so far.
+    pub fn record_processed(&mut self) {
+        self.unprocessed.clear();
+    }
+
     /// Shuts down the closing connections on which nothing is pending or unwritten any more.
     pub fn advance_closing(&mut self, shared: &mut Shared, director: &Director) {
         let tokens: Vec<Token> = self.closing.iter().copied().collect();
@@ -79,17 +117,21 @@
                 self.closing.remove(&token);
                 continue;
             };
-            let pending = director.requests_and_sessions_on(ViewerLink(token)).0 > 0
-                || connection.socket.unwritten_len() > 0;
             let within = |timeout: Micros| since.saturating_add(timeout) > shared.now;
             let may_await_partial = connection.accepts_messages() && within(PARTIAL_MESSAGE_WAIT_US);
-            let keeps_reading = reason == CloseReason::End && within(SHUTDOWN_READ_LIMIT_US);
-            if pending
+            let keeps_reading = connection.accepts_messages() && within(SHUTDOWN_READ_LIMIT_US);
+            if self.is_in_use(director, token)
+                || connection.socket.unwritten_len() > 0
                 || may_await_partial && connection.socket.has_partial_message()
-                || keeps_reading && self.read_before_close(shared, token)
             {
                 continue;
             }
+            if keeps_reading {
+                self.read_and_write(shared, Ready { token, readable: true, writable: false });
+                if self.is_in_use(director, token) {
+                    continue;
+                }
+            }
             let has_partial = self
                 .connections
                 .get(&token)
@@ -103,6 +145,7 @@
     /// Shuts a connection down for writing. It is closed once the client has closed its side.
     pub(super) fn shut_down_write(&mut self, shared: &mut Shared, token: Token, reason: CloseReason) {
         self.closing.remove(&token);
+        debug_assert!(!self.unprocessed.contains(&token), "a message on the connection is not processed yet");
         let Some(connection) = self.connections.get_mut(&token) else { return };
         debug!(shared.log, "viewer connection shut down for writing"; "connection" => token,
             "why" => ?reason);
--- a/src/net/viewers/connection.rs
+++ b/src/net/viewers/connection.rs
@@ -158,8 +158,7 @@
         }
     }
 
-    /// Returns whether the connection is to be closed, provided that no request on it is pending: its client
-    /// has sent no first message in time, does not continue a partial message, or has sent no message for
+    /// Returns whether the connection is to be closed, provided that it is not in use: its client has sent no first message in time, does not continue a partial message, or has sent no message for
     /// long and has no session.
     pub fn is_overdue(&self, now: Micros, sessions: usize) -> bool {
         let elapsed = |since: Micros, timeout: Micros| since.saturating_add(timeout) <= now;
@@ -175,20 +174,26 @@
         }
     }
 
-    /// Returns whether the connection may be closed in favour of another one, provided that no request on it
-    /// is pending: it had time to send a request, no message was read from it in this turn, which might not
-    /// be processed yet, and its viewer is not in the middle of reading or of sending a message.
+    /// Returns whether the connection may be closed in favour of another one, provided that it is not in use:
+    /// it had time to send a request, and its viewer is not in the middle of reading or of sending a message.
     pub fn is_evictable(&self, now: Micros) -> bool {
         let is_sending = self
             .partial
             .is_some_and(|partial| partial.last_read_at.saturating_add(PARTIAL_MESSAGE_GRACE_US) > now);
-        if is_sending {
-            return false;
-        }
-        let past_grace = self.answered || self.accepted_at.saturating_add(NEW_CONNECTION_GRACE_US) <= now;
         let is_reading =
             self.socket.unwritten_len() > 0 && self.last_message_at.saturating_add(IDLE_TIMEOUT_US) > now;
-        past_grace && !is_reading && !self.broken && self.last_message_at < now
+        !is_sending && !is_reading && self.is_past_grace(now)
+    }
+
+    /// Returns whether the connection may be closed because clients are sent away, provided that it is not in
+    /// use: it had time to send a request, and no message is partly received or waits to be written.
+    pub fn may_be_sent_away(&self, now: Micros) -> bool {
+        let is_idle = !self.socket.has_partial_message() && self.socket.unwritten_len() == 0;
+        self.state == ConnectionState::Open && is_idle && self.is_past_grace(now)
+    }
+
+    fn is_past_grace(&self, now: Micros) -> bool {
+        self.answered || self.accepted_at.saturating_add(NEW_CONNECTION_GRACE_US) <= now
     }
 
     /// Returns whether received data is still parsed. After malformed data no message boundary can be found.
--- a/src/net/viewers/mod.rs
+++ b/src/net/viewers/mod.rs
@@ -13,9 +13,7 @@
 use crate::director::{Director, ViewerLink};
 use crate::interface::Micros;
 use crate::platform::viewer::{self, ViewerMessage};
-use connection::{
-    CloseReason, ConnectionState, MESSAGE_TIMEOUT_US, NEW_CONNECTION_GRACE_US, ViewerConnection,
-};
+use connection::{CloseReason, ConnectionState, MESSAGE_TIMEOUT_US, ViewerConnection};
 use slog::{debug, warn};
 use socket2::{Domain, Protocol, Socket, Type};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -53,6 +51,9 @@
     queued_releases: VecDeque<(Micros, Vec<u8>)>,
     /// Connections to be shut down once nothing on them is pending or unwritten.
     closing: BTreeSet<Token>,
+    /// Connections with messages that were read and that the ledger has not processed yet. Until it has, it
+    /// does not know the requests among them.
+    unprocessed: BTreeSet<Token>,
     /// Whether no more connections are accepted.
     stopped_accepting: bool,
 }
@@ -68,6 +69,7 @@
             max_connections,
             queued_releases: VecDeque::new(),
             closing: BTreeSet::new(),
+            unprocessed: BTreeSet::new(),
             stopped_accepting: false,
         })
     }
@@ -115,38 +117,27 @@
         shared.schedule(MESSAGE_TIMEOUT_US, Deadline::ViewerConnection(token));
     }
 
-    /// Closes one connection without a pending request that had time to send one, if there is any.
-    /// Connections that never had a session come first, then those whose last message is oldest. A connection
-    /// on which a message has arrived meanwhile is read instead of closed.
+    /// Closes one connection that is not in use and had time to send a request, if there is any. Connections
+    /// that never had a session come first, then those whose last message is oldest. A connection on which a
+    /// message has arrived meanwhile is read instead of closed.
     fn evict_one(&mut self, shared: &mut Shared, director: &Director) -> bool {
         for _ in 0..MAX_EVICTION_TRIES {
-            let candidates = self.connections.iter().filter(|(t, c)| {
-                director.requests_and_sessions_on(ViewerLink(**t)).0 == 0 && c.is_evictable(shared.now)
+            let candidates = self.connections.iter().filter(|(token, connection)| {
+                connection.is_evictable(shared.now) && !self.is_in_use(director, **token)
             });
             let oldest = candidates.min_by_key(|(_, c)| (c.had_session, c.last_message_at)).map(|(t, _)| *t);
             let Some(token) = oldest else { return false };
-            let received = self.read_before_close(shared, token);
-            if !received && self.connections.get(&token).is_some_and(|c| c.is_evictable(shared.now)) {
-                self.evict(shared, token, CloseReason::Room);
-                return true;
+            let is_evictable = |connection: &ViewerConnection, now| connection.is_evictable(now);
+            if self.must_stay_open(shared, director, token, is_evictable) {
+                continue;
             }
+            shared.counters.viewers_shed += 1;
+            self.close(shared, token, CloseReason::Room);
+            return true;
         }
         false
     }
 
-    /// Reads from a connection that is about to be closed. Returns whether a message or the end of input was
-    /// received; the caller then must not close it.
-    fn read_before_close(&mut self, shared: &mut Shared, token: Token) -> bool {
-        let heard_before = shared.events.len();
-        self.read_and_write(shared, Ready { token, readable: true, writable: false });
-        shared.events.len() > heard_before
-    }
-
-    fn evict(&mut self, shared: &mut Shared, token: Token, reason: CloseReason) {
-        shared.counters.viewers_shed += 1;
-        self.close(shared, token, reason);
-    }
-
     /// Checks the timeouts of a connection, and closes it if one has expired.
     fn check_connection(&mut self, shared: &mut Shared, token: Token, director: &Director) {
         if self.close_stalled(shared, token) {
@@ -163,14 +154,11 @@
             }
             ConnectionState::HalfClosed { .. } => return,
         }
-        let (pending, sessions) = director.requests_and_sessions_on(ViewerLink(token));
-        let is_overdue = |connection: &ViewerConnection| connection.is_overdue(shared.now, sessions);
-        if pending == 0 && is_overdue(connection) {
-            let received = self.read_before_close(shared, token);
-            if !received && self.connections.get(&token).is_some_and(|c| c.is_overdue(shared.now, sessions)) {
-                shared.counters.viewers_shed += 1;
-                return self.shut_down_write(shared, token, CloseReason::Silent);
-            }
+        let (_, sessions) = director.requests_and_sessions_on(ViewerLink(token));
+        let is_overdue = |connection: &ViewerConnection, now| connection.is_overdue(now, sessions);
+        if is_overdue(connection, shared.now) && !self.must_stay_open(shared, director, token, is_overdue) {
+            shared.counters.viewers_shed += 1;
+            return self.shut_down_write(shared, token, CloseReason::Silent);
         }
         shared.schedule(CHECK_INTERVAL_US, Deadline::ViewerConnection(token));
     }
@@ -202,22 +190,18 @@
         self.connections.len()
     }
 
-    /// Closes the connections on which no request is pending and no data is unwritten; unless `all` is set,
-    /// only those without a session. A connection on which a message has arrived meanwhile is read instead of
-    /// closed. A new connection first has time to send its first message.
+    /// Closes the connections that are not in use; unless `all` is set, only those without a session. A
+    /// connection on which a message has arrived meanwhile is read instead of closed. A new connection first
+    /// has time to send its first message.
     pub fn close_idle_connections(&mut self, shared: &mut Shared, director: &Director, all: bool) {
-        let if_idle = |(token, c): (&Token, &ViewerConnection)| {
-            let past_grace =
-                c.answered || c.accepted_at.saturating_add(NEW_CONNECTION_GRACE_US) <= shared.now;
-            let (pending, sessions) = director.requests_and_sessions_on(ViewerLink(*token));
-            let idle = c.state == ConnectionState::Open && past_grace && c.socket.unwritten_len() == 0;
-            (pending == 0 && (all || sessions == 0) && idle).then_some(*token)
-        };
-        let idle_tokens: Vec<Token> = self.connections.iter().filter_map(if_idle).collect();
-        for token in idle_tokens {
-            let received = self.read_before_close(shared, token);
-            let has_partial = self.connections.get(&token).is_some_and(|c| c.socket.has_partial_message());
-            if !received && !has_partial {
+        let tokens: Vec<Token> = self.connections.keys().copied().collect();
+        for token in tokens {
+            let (_, sessions) = director.requests_and_sessions_on(ViewerLink(token));
+            let may_close = |connection: &ViewerConnection, now| {
+                let sessions_allow = all || sessions == 0;
+                sessions_allow && connection.may_be_sent_away(now)
+            };
+            if !self.must_stay_open(shared, director, token, may_close) {
                 shared.counters.viewers_sent_away += 1;
                 self.shut_down_write(shared, token, CloseReason::Drain);
             }
@@ -273,6 +257,9 @@
         if let Err(error) = &read_result {
             debug!(shared.log, "viewer connection failed: {error}");
         }
+        if !messages.is_empty() {
+            self.unprocessed.insert(token);
+        }
         shared
             .events
             .extend(messages.into_iter().map(|message| Event::ViewerMessage(ViewerLink(token), message)));
--- a/src/net/viewers/sends.rs
+++ b/src/net/viewers/sends.rs
@@ -165,6 +165,10 @@
     /// Removes a connection. Its pending requests end, undelivered answers are reported to the core, and
     /// releases that were not written completely are sent on another connection.
     pub(super) fn close(&mut self, shared: &mut Shared, token: Token, reason: CloseReason) {
+        debug_assert!(
+            reason != CloseReason::Room || !self.unprocessed.contains(&token),
+            "a message on the connection is not processed yet"
+        );
         let Some(connection) = self.connections.remove(&token) else { return };
         debug!(shared.log, "viewer connection closed"; "connection" => token,
             "why" => ?reason, "unwritten" => connection.socket.unwritten_len());
--- /dev/null
+++ b/tests/idle_closes.rs
@@ -0,0 +1,107 @@
+//! Connections that the director closes by its own decision while a message on them arrives. The crossing is
+//! forced: the process is stopped until the time of the decision has passed, and then meets the message and the
+//! decision in one turn.
+mod common;
+mod rig;
+use rig::*;
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Time after which a new connection without a message is checked, and a little more.
+const FIRST_CHECK: Duration = Duration::from_millis(1_700);
+/// Time after which unused connections are closed when clients are sent away, and a little more.
+const UNUSED_CLOSE: Duration = Duration::from_millis(700);
+/// Answer to a set-up of a class that does not exist.
+const FAILED: [u8; 4] = [58, 0, 1, 41];
+
+/// A viewer connection on which half of a request was read, and the other half.
+fn half_a_request(rig: &Rig, id: u64) -> (TcpStream, Vec<u8>) {
+    let mut viewer = rig.viewer();
+    viewer.write_all(&set_up(id, "unheard-of")).expect("written");
+    assert_eq!(read_message(&mut viewer), (12, id, FAILED.to_vec()));
+    let request = set_up(id + 1, "unheard-of");
+    let (first, rest) = request.split_at(30);
+    viewer.write_all(first).expect("written");
+    (viewer, rest.to_vec())
+}
+
+/// Writes to a viewer connection while the process is stopped, and lets it go on after a time.
+fn write_while_stopped(rig: &Rig, viewer: &mut TcpStream, bytes: &[u8], stopped_for: Duration) {
+    rig.suspend();
+    viewer.write_all(bytes).expect("written");
+    std::thread::sleep(stopped_for);
+    rig.resume();
+}
+
+/// The check of a new connection asked the ledger before the request read in the same turn had reached it: the
+/// request was set up at a streamer, and its connection closed without an answer.
+#[test]
+fn a_request_read_in_the_turn_of_the_first_message_check_is_answered() {
+    let rig = Rig::with_admin();
+    let mut viewer = rig.viewer();
+    let accepted = rig.metric("viewer_connections");
+    assert_eq!(accepted, 1);
+    write_while_stopped(&rig, &mut viewer, &set_up(0x501, "replay"), FIRST_CHECK);
+    let mut streamer = rig.streamer();
+    assert!(read_rtsp(&mut streamer).starts_with("SETUP"));
+    streamer.write_all(&established_response(0x501, "answer")).expect("written");
+    assert_eq!(read_message(&mut viewer).0, 9, "served");
+}
+
+/// The same with a request that is written over the time of the first checks.
+#[test]
+fn a_request_completed_in_the_turn_of_a_later_check_is_answered() {
+    let rig = Rig::with_admin();
+    let mut viewer = rig.viewer();
+    let request = set_up(0x511, "unheard-of");
+    for part in request.chunks(30) {
+        viewer.write_all(part).expect("written");
+        if part.len() == 30 {
+            std::thread::sleep(Duration::from_millis(400));
+        }
+    }
+    assert_eq!(read_message(&mut viewer), (12, 0x511, FAILED.to_vec()));
+    let mut viewer = rig.viewer();
+    let (first, rest) = request.split_at(30);
+    viewer.write_all(first).expect("written");
+    wait_until("it is accepted", || rig.metric("viewer_connections") == 2);
+    write_while_stopped(&rig, &mut viewer, rest, FIRST_CHECK);
+    assert_eq!(read_message(&mut viewer), (12, 0x511, FAILED.to_vec()));
+}
+
+/// A lame duck closed a connection in the turn in which a request on it was read.
+#[test]
+fn a_request_completed_as_a_lame_duck_closes_unused_connections_is_answered() {
+    let rig = Rig::with_admin();
+    let (mut viewer, rest) = half_a_request(&rig, 0x520);
+    assert_eq!(rig.admin_call("PUT", "/_lameduck/on").0, 200);
+    write_while_stopped(&rig, &mut viewer, &rest, UNUSED_CLOSE);
+    assert_eq!(read_message(&mut viewer), (12, 0x521, FAILED.to_vec()));
+    assert_eq!(viewer.read(&mut [0; 64]).unwrap_or(0), 0, "closed afterwards");
+}
+
+/// The same during the grace period after SIGTERM.
+#[test]
+fn a_request_completed_as_a_stopping_process_closes_unused_connections_is_answered() {
+    let mut rig = Rig::with_admin();
+    let (mut viewer, rest) = half_a_request(&rig, 0x530);
+    rig.signal("-TERM");
+    next_line(&mut rig.log, "asked to end");
+    write_while_stopped(&rig, &mut viewer, &rest, UNUSED_CLOSE);
+    assert_eq!(read_message(&mut viewer), (12, 0x531, FAILED.to_vec()));
+}
+
+/// A replaced process closes all unused connections at once, and did so with the request just read; the viewer
+/// sent it again to the new process, which set it up a second time.
+#[test]
+fn a_request_completed_as_a_replaced_process_closes_its_connections_is_answered() {
+    let socket = bind_listener();
+    let mut old = Rig::on_listener(&socket, &Arc::new(bind_listener()), &Arc::new(bind_listener()));
+    let (mut viewer, rest) = half_a_request(&old, 0x540);
+    old.signal("-TERM");
+    next_line(&mut old.log, "asked to end");
+    write_while_stopped(&old, &mut viewer, &rest, Duration::from_millis(100));
+    assert_eq!(read_message(&mut viewer), (12, 0x541, FAILED.to_vec()));
+}
