The end of a session is heard on a connection that the director is closing

What callers saw: a viewer ended its session on the connection on which it had been set up, just as the director closed that connection (a replaced process closes all that are not in use at once). The session was left standing at its streamer.

Cause: once a connection was shut down for writing, all that was read on it was thrown away.

Fix: on a half-closed connection messages that want no answer (`ViewerMessage::wants_answer`) are processed, requests and tests are discarded as before. It is read once more when its time is up.

The test stops at the director's end of the connection and then writes the release; before, the streamer was never told (the test ran into its time limit).

--- a/src/net/viewers/connection.rs
+++ b/src/net/viewers/connection.rs
@@ -76,7 +76,8 @@
         /// When the close began.
         since: Micros,
     },
-    /// Shut down for writing. Data is discarded until the client closes its side.
+    /// Shut down for writing. Until the client closes its side, messages that want no answer are processed,
+    /// and others are discarded.
     HalfClosed {
         /// Why it is closed.
         reason: CloseReason,
@@ -200,14 +201,20 @@
     pub fn accepts_messages(&self) -> bool {
         match self.state {
             ConnectionState::Open => true,
-            ConnectionState::Closing { reason, .. } => reason != CloseReason::Malformed,
-            ConnectionState::HalfClosed { .. } => false,
+            ConnectionState::Closing { reason, .. } | ConnectionState::HalfClosed { reason, .. } => {
+                reason != CloseReason::Malformed
+            }
         }
     }
 
+    /// Returns whether it was shut down for writing.
+    pub fn is_half_closed(&self) -> bool {
+        matches!(self.state, ConnectionState::HalfClosed { .. })
+    }
+
     /// Returns whether messages can still be sent on it.
     pub fn is_writable(&self) -> bool {
-        !self.broken && !matches!(self.state, ConnectionState::HalfClosed { .. })
+        !self.broken && !self.is_half_closed()
     }
 
     /// Queues a message for writing. `tracked` describes it if it must not be lost with the connection.
--- a/src/net/viewers/mod.rs
+++ b/src/net/viewers/mod.rs
@@ -150,6 +150,7 @@
                 return shared.schedule(CHECK_INTERVAL_US, Deadline::ViewerConnection(token));
             }
             ConnectionState::HalfClosed { reason, deadline } if deadline <= shared.now => {
+                self.read_and_write(shared, Ready { token, readable: true, writable: false });
                 return self.close(shared, token, reason);
             }
             ConnectionState::HalfClosed { .. } => return,
@@ -241,7 +242,11 @@
             }
             return;
         }
-        let (messages, parse_error) = connection.socket.take_messages(viewer::read);
+        let (mut messages, parse_error) = connection.socket.take_messages(viewer::read);
+        if connection.is_half_closed() {
+            // Nothing can be answered any more. A viewer sends such a request again on a new connection.
+            messages.retain(|message| !message.wants_answer());
+        }
         connection.record_read(shared.now, !messages.is_empty());
         let newly_identified =
             !connection.is_viewer && messages.iter().any(|m| matches!(m, ViewerMessage::SetUp(_)));
--- a/src/platform/viewer.rs
+++ b/src/platform/viewer.rs
@@ -101,6 +101,17 @@
     Ignored,
 }
 
+impl ViewerMessage {
+    /// Returns whether the viewer expects a message in return.
+    pub fn wants_answer(&self) -> bool {
+        match self {
+            ViewerMessage::SetUp(set_up) => set_up.playing_at.is_none(),
+            ViewerMessage::Test(_) | ViewerMessage::Unusable(..) => true,
+            ViewerMessage::Release(_) | ViewerMessage::Ignored => false,
+        }
+    }
+}
+
 /// Parses the first message in `bytes`. Returns it with its encoded length, or `None` if it is incomplete.
 pub fn read(bytes: &[u8]) -> Result<Option<(ViewerMessage, usize)>, ViewerError> {
     let [high, low, rest @ ..] = bytes else { return Ok(None) };
--- a/tests/idle_closes.rs
+++ b/tests/idle_closes.rs
@@ -105,3 +105,25 @@
     write_while_stopped(&old, &mut viewer, &rest, Duration::from_millis(100));
     assert_eq!(read_message(&mut viewer), (12, 0x541, FAILED.to_vec()));
 }
+
+/// A viewer ends its session on the connection that the director is closing. Everything that was read there
+/// after the director had ended its side was thrown away, and the session was left standing.
+#[test]
+fn a_release_that_crosses_the_close_of_its_connection_ends_its_session() {
+    let socket = bind_listener();
+    let old = Rig::on_listener(&socket, &Arc::new(bind_listener()), &Arc::new(bind_listener()));
+    let mut viewer = old.viewer();
+    viewer.write_all(&set_up(0x550, "replay")).expect("written");
+    let mut streamer = old.streamer();
+    read_rtsp(&mut streamer);
+    streamer.write_all(&established_response(0x550, "answer")).expect("written");
+    assert_eq!(read_message(&mut viewer).0, 9);
+    let mut busy = old.viewer();
+    busy.write_all(&set_up(0x551, "replay")).expect("written");
+    assert!(read_rtsp(&mut streamer).starts_with("SETUP"));
+    old.signal("-TERM");
+    assert_eq!(viewer.read(&mut [0; 64]).unwrap_or(0), 0, "the director has ended its side");
+    viewer.write_all(&message(12, 0x550, &[(58, &[16])])).expect("written");
+    let request = read_rtsp(&mut streamer);
+    assert!(request.starts_with("TEARDOWN") && request.contains("0000000000000550"), "{request}");
+}
