A connection is not closed as idle while answers on it are still being written

What callers saw: a client that reads slowly, on a connection whose sessions had ended, got some of its answers and then the end of the connection in the middle of one.

Cause: the check of idle connections looked at what was received alone; a shut-down for writing drops the bytes that wait in the director. Eviction had a condition of its own, counted from the client's last message instead of its last read.

Fix: a connection keeps the time at which its client last took data. With data waiting, it counts as idle only 30 s after that; for eviction 6 s, as before. The socket's buffers hold megabytes ahead of that data, so a client may read for long before the director sees it.

The test reads 4 KiB each 250 ms; before, the connection was closed 6 s after the last message and the rest was lost.

--- a/src/net/viewers/closing.rs
+++ b/src/net/viewers/closing.rs
@@ -8,7 +8,7 @@
 //! no answer, such as the end of a session, are processed. Closing a socket with unread data
 //! would reset the connection, and a reset discards data that the client has not read yet.
 use super::Viewers;
-use super::connection::{CloseReason, ConnectionState, ViewerConnection};
+use super::connection::{CloseReason, ConnectionState, ViewerConnection, WRITE_TIMEOUT_US};
 use crate::director::{Director, ViewerLink};
 use crate::interface::Micros;
 use crate::net::component::Ready;
@@ -121,7 +121,7 @@
             let may_await_partial = connection.accepts_messages() && within(PARTIAL_MESSAGE_WAIT_US);
             let keeps_reading = connection.accepts_messages() && within(SHUTDOWN_READ_LIMIT_US);
             if self.is_in_use(director, token)
-                || connection.socket.unwritten_len() > 0
+                || connection.has_unwritten(shared.now, WRITE_TIMEOUT_US)
                 || may_await_partial && connection.socket.has_partial_message()
             {
                 continue;
--- a/src/net/viewers/connection.rs
+++ b/src/net/viewers/connection.rs
@@ -3,6 +3,7 @@
 use crate::interface::{Micros, RequestId};
 use crate::net::connection::Connection;
 use std::collections::VecDeque;
+use std::io;
 
 /// Time for a new connection to send its first bytes before it may be evicted.
 pub const NEW_CONNECTION_GRACE_US: Micros = 100_000;
@@ -39,6 +40,9 @@
 /// Time for a new connection to send a first message that gets an answer, and for a partly received message
 /// to continue. After that the connection is closed.
 pub const MESSAGE_TIMEOUT_US: Micros = 1_500_000;
+/// Time for a client to take some of the data that is written for it before its connection may be closed with
+/// the rest unwritten. The socket's buffers may hold megabytes ahead of that data.
+pub const WRITE_TIMEOUT_US: Micros = 30_000_000;
 /// Time for a partly received message to continue before its connection may be evicted.
 const PARTIAL_MESSAGE_GRACE_US: Micros = 500_000;
 
@@ -92,6 +96,8 @@
     pub accepted_at: Micros,
     /// When a complete message was last read; initially when the connection was accepted.
     pub last_message_at: Micros,
+    /// When the client last took data that was written for it, or data began to wait for it.
+    last_progress_at: Micros,
     /// Set while reading is paused because too much data waits to be read by the client.
     pub stalled: Option<Stall>,
     /// Total number of bytes read, as of the last [`ViewerConnection::record_read`].
@@ -128,6 +134,7 @@
             socket,
             accepted_at: now,
             last_message_at: now,
+            last_progress_at: now,
             stalled: None,
             read_total: 0,
             partial: None,
@@ -163,6 +170,9 @@
     /// long and has no session.
     pub fn is_overdue(&self, now: Micros, sessions: usize) -> bool {
         let elapsed = |since: Micros, timeout: Micros| since.saturating_add(timeout) <= now;
+        if self.has_unwritten(now, WRITE_TIMEOUT_US) {
+            return false;
+        }
         match self.partial {
             Some(partial) => {
                 elapsed(partial.last_read_at, MESSAGE_TIMEOUT_US)
@@ -181,15 +191,13 @@
         let is_sending = self
             .partial
             .is_some_and(|partial| partial.last_read_at.saturating_add(PARTIAL_MESSAGE_GRACE_US) > now);
-        let is_reading =
-            self.socket.unwritten_len() > 0 && self.last_message_at.saturating_add(IDLE_TIMEOUT_US) > now;
-        !is_sending && !is_reading && self.is_past_grace(now)
+        !is_sending && !self.has_unwritten(now, IDLE_TIMEOUT_US) && self.is_past_grace(now)
     }
 
     /// Returns whether the connection may be closed because clients are sent away, provided that it is not in
     /// use: it had time to send a request, and no message is partly received or waits to be written.
     pub fn may_be_sent_away(&self, now: Micros) -> bool {
-        let is_idle = !self.socket.has_partial_message() && self.socket.unwritten_len() == 0;
+        let is_idle = !self.socket.has_partial_message() && !self.has_unwritten(now, WRITE_TIMEOUT_US);
         self.state == ConnectionState::Open && is_idle && self.is_past_grace(now)
     }
 
@@ -197,6 +205,21 @@
         self.answered || self.accepted_at.saturating_add(NEW_CONNECTION_GRACE_US) <= now
     }
 
+    /// Returns whether data waits to be written to a client that has taken some within a time.
+    pub fn has_unwritten(&self, now: Micros, within: Micros) -> bool {
+        self.socket.unwritten_len() > 0 && self.last_progress_at.saturating_add(within) > now
+    }
+
+    /// Writes as much as the socket accepts.
+    pub fn write(&mut self, now: Micros) -> io::Result<bool> {
+        let written_total = self.socket.written_total();
+        let result = self.socket.write();
+        if self.socket.written_total() != written_total {
+            self.last_progress_at = now;
+        }
+        result
+    }
+
     /// Returns whether received data is still parsed. After malformed data no message boundary can be found.
     pub fn accepts_messages(&self) -> bool {
         match self.state {
@@ -218,8 +241,11 @@
     }
 
     /// Queues a message for writing. `tracked` describes it if it must not be lost with the connection.
-    pub fn queue(&mut self, bytes: &[u8], tracked: Option<UnsentMessage>) {
+    pub fn queue(&mut self, now: Micros, bytes: &[u8], tracked: Option<UnsentMessage>) {
         self.answered = true;
+        if self.socket.unwritten_len() == 0 {
+            self.last_progress_at = now;
+        }
         let written_total = self.socket.written_total();
         while self.unsent.front().is_some_and(|(end, _)| *end <= written_total) {
             self.unsent.pop_front();
--- a/src/net/viewers/mod.rs
+++ b/src/net/viewers/mod.rs
@@ -225,7 +225,7 @@
     /// [`Event::ViewerClosed`] if the viewer has closed the connection.
     fn read_and_write(&mut self, shared: &mut Shared, Ready { token, readable, writable }: Ready) {
         let Some(connection) = self.connections.get_mut(&token) else { return };
-        if writable && let Err(error) = connection.socket.write() {
+        if writable && let Err(error) = connection.write(shared.now) {
             debug!(shared.log, "viewer connection failed: {error}");
             (connection.broken, connection.reset) = (true, true); // data received before is still processed
         }
--- a/src/net/viewers/sends.rs
+++ b/src/net/viewers/sends.rs
@@ -37,7 +37,7 @@
             return shared.inputs.push(Input::Undelivered(id));
         };
         (connection.had_session, connection.unusable_set_ups) = (true, 0);
-        connection.queue(bytes, Some(UnsentMessage::Answer(id)));
+        connection.queue(shared.now, bytes, Some(UnsentMessage::Answer(id)));
         connection.record_answer(shared.now, id);
         self.flush(shared, link.0);
     }
@@ -56,7 +56,7 @@
     /// Sends a final answer, or another message that is useless on other connections.
     pub fn send(&mut self, shared: &mut Shared, link: ViewerLink, bytes: &[u8]) {
         let Some(connection) = self.connections.get_mut(&link.0).filter(|c| c.is_writable()) else { return };
-        connection.queue(bytes, None);
+        connection.queue(shared.now, bytes, None);
         self.flush(shared, link.0);
     }
 
@@ -85,7 +85,7 @@
         let Some(connection) = self.connections.get_mut(&token).filter(|c| c.is_writable()) else {
             return false;
         };
-        connection.queue(bytes, Some(UnsentMessage::Release(bytes.to_vec())));
+        connection.queue(shared.now, bytes, Some(UnsentMessage::Release(bytes.to_vec())));
         self.flush(shared, token);
         true
     }
@@ -94,7 +94,7 @@
     /// it are processed. Reading is paused while the client does not read.
     fn flush(&mut self, shared: &mut Shared, token: Token) {
         let Some(connection) = self.connections.get_mut(&token) else { return };
-        match connection.socket.write() {
+        match connection.write(shared.now) {
             Ok(_) if connection.socket.unwritten_len() <= MAX_UNWRITTEN_BYTES => {}
             Ok(_) => self.pause_reading(shared, token),
             Err(error) => {
--- a/tests/idle_closes.rs
+++ b/tests/idle_closes.rs
@@ -13,6 +13,8 @@
 const FIRST_CHECK: Duration = Duration::from_millis(1_700);
 /// Time after which unused connections are closed when clients are sent away, and a little more.
 const UNUSED_CLOSE: Duration = Duration::from_millis(700);
+/// Time without any message or progress after which a connection is closed, and several checks more.
+const IDLE_TIMEOUT: Duration = Duration::from_millis(7_500);
 /// Answer to a set-up of a class that does not exist.
 const FAILED: [u8; 4] = [58, 0, 1, 41];
 
@@ -127,3 +129,32 @@
     let request = read_rtsp(&mut streamer);
     assert!(request.starts_with("TEARDOWN") && request.contains("0000000000000550"), "{request}");
 }
+
+/// A connection without a session was closed after its idle time though answers on it were still to be written
+/// to a client that reads slowly.
+#[test]
+fn a_connection_with_unwritten_answers_is_not_closed_as_idle() {
+    let rig = Rig::with_admin_and_settings(&common::settings_with_long_timeouts());
+    let UnreadAnswers { mut viewer, mut streamer, answers, first } = unread_answers(&rig);
+    let (sessions, ended) = (first..first + answers, rig.metric("ended"));
+    sessions.clone().for_each(|id| streamer.write_all(&teardown(id)).expect("written"));
+    wait_until("the sessions have ended", || rig.metric("ended") == ended + answers);
+    // The client reads a little at a time.
+    let mut read = Vec::new();
+    let mut part = [0; 4_096];
+    for _ in 0..IDLE_TIMEOUT.as_millis() / 250 {
+        std::thread::sleep(Duration::from_millis(250));
+        let length = viewer.read(&mut part).expect("readable");
+        read.extend(&part[..length]);
+    }
+    let mut messages = Vec::new();
+    let mut rest = read.as_slice().chain(&viewer);
+    while messages.len() < 2 * answers as usize {
+        let mut length = [0; 2];
+        rest.read_exact(&mut length).expect("all answers and releases are written");
+        let mut body = vec![0; usize::from(u16::from_be_bytes(length))];
+        rest.read_exact(&mut body).expect("a whole message");
+        messages.push(body[0]);
+    }
+    assert_eq!(messages.iter().filter(|kind| **kind == 9).count() as u64, answers);
+}
