A streamer's connection is read and its answers processed before it is closed as idle

What streamers saw: the connection on which they had just answered a set-up was closed, and another one opened at once for the same session, where a set-up had taken longer than four fifths of the idle time.

Cause: as with viewers' connections: the check runs between reading and the ledger's turn, the answer was no longer open on the connection, and the ledger had no session at that streamer yet.

Fix: a connection on which something was received in this turn is not idle, and an idle one is read once more before its close. A connection given up because a cancellation can't be written is read first, too: answers to other attempts on it that had come after the turn's reading would have counted as broken.

The test stops the process over the time of a check; before, the streamer met the end of its connection.

--- a/src/net/streamers/mod.rs
+++ b/src/net/streamers/mod.rs
@@ -203,6 +203,7 @@
             let streamer = connection.streamer.0;
             info!(shared.log, "cancellation not written in time; closing the connection";
                 "streamer" => streamer);
+            self.read(shared, token); // answers to other attempts on it count
             self.close(shared, token);
         }
     }
--- a/src/net/streamers/pool.rs
+++ b/src/net/streamers/pool.rs
@@ -121,6 +121,16 @@
         self.close(shared, token);
     }
 
+    /// Closes an idle connection, unless a message has arrived on it meanwhile.
+    fn close_unless_received(&mut self, shared: &mut Shared, token: Token) {
+        self.read(shared, token);
+        let received_now =
+            self.connections.get(&token).is_some_and(|connection| connection.last_received_at >= shared.now);
+        if !received_now {
+            self.close(shared, token);
+        }
+    }
+
     /// Records a failed connection attempt that began at `since`.
     pub(super) fn dial_failed(
         &mut self,
@@ -173,9 +183,10 @@
                 && c.socket.unwritten_len() == 0
                 && c.last_used_at.saturating_add(self.transport.idle_timeout_us / 5 * 4) <= now
                 && sessions_at(c.streamer) == 0
+                && c.last_received_at < now // the ledger has processed what was received
         };
         let idle: Vec<Token> = self.connections.values().filter(is_idle).map(|c| c.socket.token()).collect();
-        idle.into_iter().for_each(|token| self.close(shared, token));
+        idle.into_iter().for_each(|token| self.close_unless_received(shared, token));
         let ids: Vec<StreamerId> = self.pools.keys().copied().collect();
         for streamer in ids {
             let Some(pool) = self.pools.get_mut(&streamer) else { continue };
--- a/tests/idle_closes.rs
+++ b/tests/idle_closes.rs
@@ -158,3 +158,24 @@
     }
     assert_eq!(messages.iter().filter(|kind| **kind == 9).count() as u64, answers);
 }
+
+/// A streamer's connection was closed as idle in the turn in which the answer to the last set-up on it was read,
+/// as the ledger did not have the session yet.
+#[test]
+fn a_streamer_connection_is_not_closed_as_idle_with_an_answer_just_read() {
+    let short_keepalive =
+        common::SETTINGS_JSON.replace(r#""keepalive_us": 15000000"#, r#""keepalive_us": 1000000"#);
+    let rig = Rig::with_settings(&short_keepalive);
+    let mut viewer = rig.viewer();
+    viewer.write_all(&set_up(0x560, "replay")).expect("written");
+    let mut streamer = rig.streamer();
+    read_rtsp(&mut streamer);
+    std::thread::sleep(Duration::from_secs(1)); // the last set-up on the connection was long ago
+    rig.suspend();
+    streamer.write_all(&established_response(0x560, "answer")).expect("written");
+    std::thread::sleep(Duration::from_millis(300)); // the next check of the connections is due
+    rig.resume();
+    assert_eq!(read_message(&mut viewer).0, 9);
+    viewer.write_all(&message(12, 0x560, &[(58, &[16])])).expect("written");
+    assert!(read_rtsp(&mut streamer).starts_with("TEARDOWN"), "on the same connection");
+}
