--- a/tests/operation.rs
+++ b/tests/operation.rs
@@ -5,8 +5,7 @@
 use rig::*;
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
-use std::net::{TcpListener, TcpStream};
-use std::sync::Arc;
+use std::net::TcpStream;
 
 /// Returns whether the director reports at the viewers' address that it accepts clients. Uses a new
 /// connection each time, as the front end does.
@@ -19,40 +18,6 @@
     }
 }
 
-/// Sends a set-up that reaches the streamer and is not answered yet.
-fn start_attempt(viewer: &mut TcpStream, streamer: &mut TcpStream, id: u64) {
-    viewer.write_all(&set_up(id, "replay")).expect("written");
-    assert!(read_rtsp(streamer).starts_with("SETUP "));
-}
-
-/// Sends a set-up and establishes its session.
-fn establish_session(viewer: &mut TcpStream, streamer: &mut TcpStream, id: u64) {
-    start_attempt(viewer, streamer, id);
-    streamer.write_all(&established_response(id, "answer")).expect("written");
-    assert_eq!(read_message(viewer).0, 9);
-}
-
-/// Establishes the first session, on new connections of a viewer and the streamer.
-fn connect_and_establish(rig: &Rig, id: u64) -> (TcpStream, TcpStream) {
-    let mut viewer = rig.viewer();
-    viewer.write_all(&set_up(id, "replay")).expect("written");
-    let mut streamer = rig.streamer();
-    read_rtsp(&mut streamer);
-    streamer.write_all(&established_response(id, "answer")).expect("written");
-    assert_eq!(read_message(&mut viewer).0, 9);
-    (viewer, streamer)
-}
-
-fn assert_closed(mut stream: TcpStream) {
-    assert_eq!(stream.read(&mut [0; 64]).unwrap_or(0), 0, "closed without a further message");
-}
-
-/// The set-up message that hands over an established session. It is not answered.
-fn handed_over_session(id: u64, at: &str) -> Vec<u8> {
-    let text = format!("home:0;copies:1;top:1;viewer:00000000b4d65521;at:{at}");
-    message(1, id, &[(16, b"replay"), (19, b"20000"), (28, b"7f3a"), (31, text.as_bytes()), (61, b"offer")])
-}
-
 fn metrics(rig: &Rig) -> BTreeMap<String, u64> {
     let (status, body) = rig.admin_call("GET", "/_vars");
     assert_eq!(status, 200);
@@ -283,23 +248,6 @@
     assert!(rig.child.wait().expect("ended").success());
 }
 
-/// The process to be replaced, and connections to it.
-struct OldProcess {
-    socket: TcpListener,
-    old: Rig,
-    viewer: TcpStream,
-    streamer: TcpStream,
-}
-
-/// Starts a director on a listening socket held by the test, with a session and an attempt in flight.
-fn start_old_process() -> OldProcess {
-    let socket = bind_listener();
-    let old = Rig::on_listener(&socket, &Arc::new(bind_listener()), &Arc::new(bind_listener()));
-    let (mut viewer, mut streamer) = connect_and_establish(&old, 0xc1);
-    start_attempt(&mut viewer, &mut streamer, 0xc2);
-    OldProcess { socket, old, viewer, streamer }
-}
-
 /// The old process answers its pending requests once, closes connections as they become idle, and exits. Its
 /// sessions go on, are handed over to the new process, and their releases reach the viewer through that.
 #[test]
@@ -348,15 +296,6 @@
     assert_eq!(read_message(&mut viewer), (12, 0xc1, vec![58, 0, 1, 16]));
 }
 
-/// Establishes a session at the new process while the old one still accepts connections from the same socket;
-/// the old one is stopped meanwhile, so that the new one accepts this connection.
-fn establish_on_new_process(new: &Rig, old: &Rig, id: u64) -> (TcpStream, TcpStream) {
-    old.signal("-STOP");
-    let connections = connect_and_establish(new, id);
-    old.signal("-CONT");
-    connections
-}
-
 /// The new process never becomes ready: the old one gets no signal and continues to serve.
 #[test]
 fn an_upgrade_whose_new_process_fails_to_start_changes_nothing() {
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -3,6 +3,7 @@
 //! Every wait ends with an observable event. The time limits only bound waits for events that never happen.
 #![allow(dead_code)]
 pub mod inherit;
+mod sessions;
 mod unread_answers;
 
 use crate::common;
@@ -15,6 +16,8 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+#[allow(unused_imports)]
+pub use sessions::*;
 #[allow(unused_imports)]
 pub use unread_answers::{UnreadAnswers, unread_answers};
 
