A viewer's end of a session that is not known yet is kept until the session is handed over

Hypotheses: the new process gets the ends and forgets them (H1); the old one does (H2); they are forwarded and lost on the way to the streamer (H3); the hand-over itself fails (H4).

Cause: handle_viewer_left dropped the end of a session that the ledger did not hold. Until the hand-over only the old process holds it, and from SIGTERM on only the new one accepts viewers; no order of events was safe. Streamers' releases had been thought of (`early_releases`), viewers' had not.

Fix: one store for both, EarlyEnds in ledger/early_ends.rs. It is asked as a session is handed over or found established. A viewer's end applies wherever the session plays, and stays, since hand-overs may be repeated; a set-up of the same id forgets it.

--- a/crates/core/src/director/counters.rs
+++ b/crates/core/src/director/counters.rs
@@ -121,6 +121,10 @@
     list_changes,
     /// Messages for sessions that the ledger does not know.
     strays,
+    /// Ends of sessions that were not known yet, kept for a hand-over.
+    ends_kept,
+    /// Kept ends that were dropped because there were too many.
+    ends_dropped,
     /// Connections accepted from viewers.
     viewer_connections,
     /// Viewer connections closed because they were idle, or to make room.
--- a/crates/core/src/director/ledger/mod.rs
+++ b/crates/core/src/director/ledger/mod.rs
@@ -3,6 +3,7 @@
 //! It upholds three invariants for any inputs in any order: a request gets exactly one final answer, at most
 //! one of its attempts is in flight at a time, and nothing from a canceled attempt reaches the viewer.
 mod closed;
+mod early_ends;
 mod streamers;
 mod viewers;
 
@@ -10,8 +11,10 @@
 use super::messages::*;
 use super::metrics::Counter;
 use crate::interface::*;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use early_ends::{EarlyEnds, Kept};
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
+use streamers::StreamerRelease;
 
 /// Part of the viewer's time limit that attempts may not use, so that an answer sent when the last attempt
 /// times out still arrives in time. The controller is told the full time limit: it compares it with bounds
@@ -97,6 +100,16 @@
         self.outputs.push(Output::Release(link, id, reason));
     }
 
+    /// Counts an end that was kept for a session that may be handed over. An overflow is logged once.
+    fn end_kept(&mut self, kept: Kept) {
+        self.counters.ends_kept += 1;
+        self.counters.ends_dropped += u64::from(kept != Kept::Added);
+        if kept == Kept::Overflowed {
+            let line = "too many ends of unknown sessions; the oldest ones of the largest sender are dropped";
+            self.outputs.push(Output::Log(line.into()));
+        }
+    }
+
     /// Increments one of the final-answer counters of a class.
     fn count_answer(&mut self, class: ClassId, counter: impl Fn(&mut ClassOutcomes) -> &mut Counter) {
         if let Some(of_class) = self.counters.operations.get_mut(class.0) {
@@ -115,9 +128,9 @@
     links: BTreeMap<ViewerLink, LinkSessions>,
     /// The streamer list, without streamers that are gone.
     streamers: BTreeMap<StreamerId, Standing>,
-    /// Releases of sessions that are not known to be established, oldest first. A session that is being
-    /// handed over may end at its streamer before the handover arrives.
-    early_releases: VecDeque<(RequestId, StreamerId, SessionEnd)>,
+    /// Ends of sessions that are not known to be established, by viewers and streamers. A session that is
+    /// being handed over may end before the handover arrives.
+    early_ends: EarlyEnds,
     /// Rungs of sessions that are still to be handed over, as recorded by the previous process. Streamers do
     /// not report rungs again, and if a session were assumed to be at the lowest rung, an attempt to raise it
     /// would in fact step it down.
@@ -129,9 +142,6 @@
     max_attempts: u32,
 }
 
-/// Most releases kept for sessions that are not yet known to be established.
-const MAX_EARLY_RELEASES: usize = 1_024;
-
 /// The event for the end of an attempt that came without a load report.
 fn attempt_ended(
     session: RequestId,
@@ -240,10 +250,10 @@
                 self.handle_handover(now, link, request, streamer, out)
             }
             Input::Unusable(link, id) => self.reject_set_up(link, id, out),
-            Input::ViewerLeft(link, id) => self.handle_viewer_left(link, id, out),
+            Input::ViewerLeft(link, id) => self.handle_viewer_left(now, link, id, out),
             Input::LinkLost(link) => {
                 let pending = self.links.get(&link).map(|l| l.pending.clone()).unwrap_or_default();
-                pending.into_iter().for_each(|id| self.handle_viewer_left(link, id, out));
+                pending.into_iter().for_each(|id| self.handle_viewer_left(now, link, id, out));
             }
             Input::Undelivered(id) => self.handle_undelivered_answer(id, out),
             Input::Unread(id) => {
@@ -279,11 +289,12 @@
                 out.counters.spoilt += 1;
                 self.end_attempt_locally(attempt, Some(Outcome::Garbled), out);
             }
-            Input::Released { streamer, session, number, why, description, report } => {
-                if why == SessionEnd::Ended && !description.is_empty() {
-                    self.handle_immediate_end(session, number, streamer, description, report, out);
+            Input::Released { streamer, session, number, why: reason, description, report } => {
+                let release = StreamerRelease { streamer, session, number, reason, report };
+                if reason == SessionEnd::Ended && !description.is_empty() {
+                    self.handle_immediate_end(now, release, description, out);
                 } else {
-                    self.handle_release(streamer, session, number, why, report, out);
+                    self.handle_release(now, release, out);
                 }
             }
             Input::Contact { streamer, up } => {
--- a/crates/core/src/director/ledger/streamers.rs
+++ b/crates/core/src/director/ledger/streamers.rs
@@ -1,10 +1,20 @@
 //! The streamer side of the ledger: updates of the streamer list, attempts and their results, and established
 //! sessions and their end.
 use super::super::messages::*;
-use super::{Ledger, MAX_EARLY_RELEASES, Outbox, Session, SessionState, attempt_ended};
+use super::{Ledger, Outbox, Session, SessionState, attempt_ended};
 use crate::interface::*;
 use std::rc::Rc;
 
+/// A streamer's release of a session.
+pub(super) struct StreamerRelease {
+    pub(super) streamer: StreamerId,
+    pub(super) session: RequestId,
+    /// Number of the attempt that is open on the connection of the release, if any.
+    pub(super) number: Option<u32>,
+    pub(super) reason: SessionEnd,
+    pub(super) report: LoadReport,
+}
+
 impl Ledger {
     /// Applies an update of the streamer list, and ends the sessions of streamers that are gone or restarted.
     pub(super) fn update_streamer_list(&mut self, scope: ListScope, entries: Vec<Entry>, out: &mut Outbox) {
@@ -99,7 +109,7 @@
                 out.outputs.push(Output::Attend(streamer));
                 let latency_us = now.saturating_sub(since);
                 out.events.push(Event::Started { request: id, streamer, latency_us });
-                self.apply_early_release(id, streamer, out);
+                self.apply_early_release(now, id, streamer, out);
             }
             (_, Some(SessionState::Established { streamer: at, .. })) if at == streamer => {
                 out.counters.strays += 1
@@ -118,8 +128,8 @@
     }
 
     /// Ends a newly established session if its release overtook the answer on another connection.
-    fn apply_early_release(&mut self, id: RequestId, streamer: StreamerId, out: &mut Outbox) {
-        let Some(reason) = self.take_early_release(id, streamer) else { return };
+    fn apply_early_release(&mut self, now: Micros, id: RequestId, streamer: StreamerId, out: &mut Outbox) {
+        let Some(reason) = self.early_ends.take_release(now, id, streamer) else { return };
         match reason {
             SessionEnd::Ended => self.end_on_both_sides(id, SessionEnd::Ended, Outcome::Ok, out),
             SessionEnd::Cut | SessionEnd::Left => {
@@ -128,20 +138,6 @@
         }
     }
 
-    /// Removes and returns the release that came before the session was known to be established.
-    pub(super) fn take_early_release(&mut self, id: RequestId, streamer: StreamerId) -> Option<SessionEnd> {
-        let at = self.early_releases.iter().position(|early| (early.0, early.1) == (id, streamer))?;
-        self.early_releases.remove(at).map(|early| early.2)
-    }
-
-    /// Keeps a release of a session that is not known to be established; drops the oldest when full.
-    fn keep_early_release(&mut self, id: RequestId, streamer: StreamerId, reason: SessionEnd) {
-        if self.early_releases.len() >= MAX_EARLY_RELEASES {
-            self.early_releases.pop_front();
-        }
-        self.early_releases.push_back((id, streamer, reason));
-    }
-
     /// Ends an established session: notifies its viewer and releases it at its streamer.
     pub(super) fn end_on_both_sides(
         &mut self,
@@ -238,13 +234,12 @@
     /// streamer's release carries the answer as well.
     pub(super) fn handle_immediate_end(
         &mut self,
-        id: RequestId,
-        number: Option<u32>,
-        from: StreamerId,
+        now: Micros,
+        release: StreamerRelease,
         description: Description,
-        report: LoadReport,
         out: &mut Outbox,
     ) {
+        let StreamerRelease { streamer: from, session: id, number, .. } = release;
         match self.sessions.get(&id) {
             Some(Session {
                 link,
@@ -257,25 +252,18 @@
                 out.counters.ended += 1;
                 out.outputs.push(Output::Answer(*link, id, description));
                 out.outputs.push(Output::Release(*link, id, SessionEnd::Ended));
-                self.remove_session(id, from, Outcome::Ok, report, out);
+                self.remove_session(id, from, Outcome::Ok, release.report, out);
             }
-            _ => self.handle_release(from, id, number, SessionEnd::Ended, report, out),
+            _ => self.handle_release(now, release, out),
         }
     }
 
     /// Handles a streamer's release of a session.
-    pub(super) fn handle_release(
-        &mut self,
-        from: StreamerId,
-        id: RequestId,
-        number: Option<u32>,
-        reason: SessionEnd,
-        report: LoadReport,
-        out: &mut Outbox,
-    ) {
+    pub(super) fn handle_release(&mut self, now: Micros, release: StreamerRelease, out: &mut Outbox) {
+        let StreamerRelease { streamer: from, session: id, number, reason, report } = release;
         let Some(session) = self.sessions.get(&id) else {
             out.counters.strays += 1;
-            return self.keep_early_release(id, from, reason);
+            return out.end_kept(self.early_ends.keep_release(now, id, from, reason));
         };
         match session.state {
             SessionState::Established { streamer, .. } if streamer == from => {
@@ -289,7 +277,7 @@
             }
             // The release has overtaken the answer, which comes on another connection.
             SessionState::InFlight { streamer, .. } if streamer == from && number.is_none() => {
-                self.keep_early_release(id, from, reason);
+                out.end_kept(self.early_ends.keep_release(now, id, from, reason));
             }
             SessionState::InFlight { .. } => {
                 out.counters.broken += 1;
--- a/crates/core/src/director/ledger/viewers.rs
+++ b/crates/core/src/director/ledger/viewers.rs
@@ -19,6 +19,7 @@
             return self.reject_set_up(link, id, out);
         }
         out.counters.taken += 1;
+        self.early_ends.forget(id);
         let request = Request { beside: self.counts_on_link(link).0, ..request };
         let deadline = now.saturating_add(request.left_us.saturating_sub(ANSWER_MARGIN_US));
         let rung = self.lowest_rungs.get(request.class.0).copied().unwrap_or(0);
@@ -65,8 +66,8 @@
         out.outputs.push(Output::Spurn(link, id));
     }
 
-    /// Takes over a session that already plays at a streamer. It is released at once if the streamer has
-    /// released it before the handover, or if the streamer is not in the list.
+    /// Takes over a session that already plays at a streamer. It is released at once if its viewer or the
+    /// streamer has ended it before the handover, or if the streamer is not in the list.
     pub(super) fn handle_handover(
         &mut self,
         now: Micros,
@@ -80,9 +81,16 @@
             return; // a handover may repeat a session that this director holds
         }
         out.counters.handed_over += 1;
-        if let Some(reason) = self.take_early_release(id, streamer) {
+        let ended_by_viewer = self.early_ends.ended_by_viewer(now, id);
+        if let Some(reason) = self.early_ends.take_release(now, id, streamer) {
+            let reason = if ended_by_viewer { SessionEnd::Left } else { reason };
             return out.session_released(link, id, reason);
         }
+        if ended_by_viewer {
+            out.counters.viewer_ended += 1;
+            out.outputs.push(Output::Drop(streamer, id));
+            return;
+        }
         if self.streamers.get(&streamer).is_none_or(|s| *s == Standing::Gone) {
             out.counters.cut += 1;
             out.outputs.push(Output::Release(link, id, SessionEnd::Cut));
@@ -118,12 +126,23 @@
     }
 
     /// Ends a session or cancels a pending set-up at the viewer's request. An established session may be
-    /// ended from any connection, a pending set-up may be canceled only from its own.
-    pub(super) fn handle_viewer_left(&mut self, link: ViewerLink, id: RequestId, out: &mut Outbox) {
-        let Some(session) = self.sessions.get(&id).filter(|s| !s.answer_pending || s.link == link) else {
+    /// ended from any connection, a pending set-up may be canceled only from its own. The end of a session
+    /// that is not known here is kept: another process may hold it and hand it over.
+    pub(super) fn handle_viewer_left(
+        &mut self,
+        now: Micros,
+        link: ViewerLink,
+        id: RequestId,
+        out: &mut Outbox,
+    ) {
+        let Some(session) = self.sessions.get(&id) else {
             out.counters.strays += 1;
-            return;
+            return out.end_kept(self.early_ends.keep_viewer_end(now, id, link));
         };
+        if session.answer_pending && session.link != link {
+            out.counters.strays += 1;
+            return;
+        }
         if let SessionState::Established { streamer, .. } = session.state {
             out.counters.viewer_ended += 1;
             out.outputs.push(Output::Drop(streamer, id));
