A replaced process still hears ends of sessions while it closes its connections

What callers saw: a viewer ended its session, or a streamer released one, in the last 0.15 s to 1 s of a process that leaves its sessions to a successor. The session was handed over and left standing, or its viewer was not told; the same where an answer could not be delivered in that time.

Cause: Ledger::close dropped the sessions it leaves to the successor, and inputs after it were ignored but for requests and late answers.

Fix: sessions that are left to a successor stay in the ledger; viewers' ends, streamers' releases and undelivered answers after the close are handled as before it. What ends in that time is not listed for the successor any more.

--- a/crates/core/src/director/ledger/closed.rs
+++ b/crates/core/src/director/ledger/closed.rs
@@ -1,5 +1,5 @@
-//! Shutdown of the ledger: answers pending requests, releases established sessions, and refuses requests
-//! that arrive later.
+//! Shutdown of the ledger: answers pending requests, releases established sessions or leaves them to a
+//! successor, and refuses requests that arrive later.
 use super::super::messages::*;
 use super::{Ledger, Outbox, Session, SessionState};
 use crate::interface::*;
@@ -9,12 +9,14 @@
 
 impl Ledger {
     /// Shuts the ledger down: answers all requests, and releases established sessions at viewer and streamer
-    /// unless `keep_established` is set because a successor takes them over.
+    /// unless `keep_established` is set because a successor takes them over. Those may still end here.
     pub(in crate::director) fn close(&mut self, keep_established: bool, out: &mut Outbox) {
         for (id, session) in std::mem::take(&mut self.sessions) {
             answer_open_request(id, &session, out);
             match session.state {
-                SessionState::Established { .. } if keep_established => {}
+                SessionState::Established { .. } if keep_established => {
+                    self.sessions.insert(id, session);
+                }
                 SessionState::Established { streamer, .. } => {
                     release_on_both_sides(session.link, id, streamer, out)
                 }
@@ -24,13 +26,16 @@
                 SessionState::Placing | SessionState::Canceling { .. } => {}
             }
         }
-        self.established_at.clear();
+        if !keep_established {
+            self.established_at.clear();
+        }
         self.links.clear();
     }
 
     /// Handles an input that arrives after [`Ledger::close`].
     pub(in crate::director) fn handle_input_after_close(
-        &self,
+        &mut self,
+        now: Micros,
         input: Input,
         keep_established: bool,
         out: &mut Outbox,
@@ -51,6 +56,12 @@
                 out.counters.late_answers += 1;
                 out.outputs.push(Output::Drop(streamer, session));
             }
+            // The successor is not told of the end of a session that it takes over.
+            Input::ViewerLeft(..) | Input::Undelivered(_) | Input::Unread(_) | Input::Released { .. }
+                if keep_established =>
+            {
+                self.handle_input(now, input, out)
+            }
             _ => {}
         }
     }
--- a/crates/core/src/director/mod.rs
+++ b/crates/core/src/director/mod.rs
@@ -78,10 +78,11 @@
     }
 
     /// Runs one turn after [`Director::close`]: requests are refused at once, and nothing new is started.
-    pub fn turn_after_close(&mut self, inputs: Vec<Input>, hand_over: bool) -> Vec<Output> {
-        inputs
-            .into_iter()
-            .for_each(|input| self.ledger.handle_input_after_close(input, hand_over, &mut self.outbox));
+    pub fn turn_after_close(&mut self, now: Micros, inputs: Vec<Input>, hand_over: bool) -> Vec<Output> {
+        for input in inputs {
+            self.ledger.handle_input_after_close(now, input, hand_over, &mut self.outbox);
+        }
+        self.outbox.events.clear();
         std::mem::take(&mut self.outbox.outputs)
     }
 
--- a/src/net/lifecycle.rs
+++ b/src/net/lifecycle.rs
@@ -170,11 +170,11 @@
                 let (requests, others): (Vec<Input>, Vec<Input>) =
                     inputs.into_iter().partition(|input| matches!(input, Input::Wanted { .. }));
                 let mut outputs = self.director.turn(now, others);
-                outputs.extend(self.director.turn_after_close(requests, self.hands_over_sessions()));
+                outputs.extend(self.director.turn_after_close(now, requests, self.hands_over_sessions()));
                 outputs
             }
             ShutdownPhase::Closing { .. } | ShutdownPhase::Done => {
-                self.director.turn_after_close(inputs, self.hands_over_sessions())
+                self.director.turn_after_close(now, inputs, self.hands_over_sessions())
             }
         }
     }
--- a/tests/early_ends.rs
+++ b/tests/early_ends.rs
@@ -105,3 +105,33 @@
         assert_eq!(director.open_requests(), 0, "the end of {id} is still known");
     }
 }
+
+/// A process that leaves its sessions to a successor heard nothing of their ends any more as it closed its
+/// connections: they were handed over, and left standing, or their viewers were not told.
+#[test]
+fn sessions_that_end_while_a_replaced_process_closes_are_ended_on_both_sides() {
+    let (mut director, now) = ready_director();
+    let mut streamers = Vec::new();
+    for id in 1..=4 {
+        let (streamer, attempt, _) =
+            find_set_up(&run_turn(&mut director, now, session_request(id, 0))).expect("a set-up");
+        run_turn(&mut director, now, established(streamer, attempt, Some(0)));
+        streamers.push(streamer);
+    }
+    assert!(director.close(true).is_empty(), "the sessions go on");
+    let (session, number, why) = (RequestId(2), None, SessionEnd::Cut);
+    let (description, report) = (Description::new(), LoadReport::default());
+    let released = Input::Released { streamer: streamers[1], session, number, why, description, report };
+    let inputs = vec![viewer_end(9, 1), released, Input::Undelivered(RequestId(3)), viewer_end(9, 77)];
+    let outputs = director.turn_after_close(now, inputs, true);
+    assert_eq!(
+        outputs,
+        [
+            Output::Drop(streamers[0], RequestId(1)),
+            Output::Release(VIEWER_LINK, RequestId(2), SessionEnd::Cut),
+            Output::Drop(streamers[2], RequestId(3)),
+        ]
+    );
+    let left: Vec<_> = director.sessions_to_hand_over().into_iter().map(|(id, _)| id).collect();
+    assert_eq!(left, [RequestId(4)]);
+}
