A replaced process leaves its successor the ends of sessions that only it knows

What callers saw: (1) before SIGTERM both processes accept; a viewer ended a session of the new process on a connection to the old one, which forgot it: left standing. (2) From SIGTERM on the old process closes viewers' connections; a streamer's release in its last half second waited for a next connection, which only the new process gets, and was lost with the process. (3) The old process ended a session for its viewer while its streamer could not be reached; the session still played, was handed over, and stood on.

Cause: the hand-over file held rungs alone; everything else that one of the two processes knows ended with it.

It is written after the last answers instead of ahead of them, and again as the process ends. Sessions that the old process released itself do not end one that was set up anew under the same id. Files of format 1 are still read. The module is succession.rs.

--- a/crates/core/src/director/ledger/closed.rs
+++ b/crates/core/src/director/ledger/closed.rs
@@ -54,7 +54,7 @@
             }
             Input::Stands { streamer, session, .. } => {
                 out.counters.late_answers += 1;
-                out.outputs.push(Output::Drop(streamer, session));
+                out.release_at_streamer(streamer, session);
             }
             // The successor is not told of the end of a session that it takes over.
             Input::ViewerLeft(..) | Input::Undelivered(_) | Input::Unread(_) | Input::Released { .. }
@@ -92,5 +92,5 @@
 fn release_on_both_sides(link: ViewerLink, id: RequestId, streamer: StreamerId, out: &mut Outbox) {
     out.counters.cut += 1;
     out.outputs.push(Output::Release(link, id, SessionEnd::Cut));
-    out.outputs.push(Output::Drop(streamer, id));
+    out.release_at_streamer(streamer, id);
 }
--- a/crates/core/src/director/ledger/early_ends.rs
+++ b/crates/core/src/director/ledger/early_ends.rs
@@ -7,6 +7,7 @@
 //! The number of ends is bounded. When too many are kept, the oldest one of the sender that has sent most of them
 //! is dropped, so that nobody can push out what others have sent.
 use super::super::messages::{SessionEnd, ViewerLink};
+use super::outbox::MAX_RECENT_RELEASES;
 use crate::interface::*;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -21,6 +22,9 @@
 /// Most ends that are kept: those of [`LIFETIME_US`] at two hundred sessions a second.
 const MAX_ENDS: usize = 4_096;
 
+/// Most ends that are kept of those that the previous process knew of.
+const MAX_INHERITED_ENDS: usize = MAX_ENDS + MAX_RECENT_RELEASES;
+
 /// Who sent an end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) enum Sender {
@@ -28,6 +32,8 @@
     Viewer(ViewerLink),
     /// A streamer.
     Streamer(StreamerId),
+    /// The process that this one replaces.
+    Predecessor,
 }
 
 /// What an end applies to: the session wherever it plays, or only at the streamer that ended it.
@@ -69,6 +75,17 @@
         self.keep(now, (id, None), Sender::Viewer(link), SessionEnd::Left)
     }
 
+    /// Keeps an end that the previous process knew of.
+    pub(super) fn keep_inherited_end(&mut self, now: Micros, id: RequestId) -> Kept {
+        self.keep(now, (id, None), Sender::Predecessor, SessionEnd::Left)
+    }
+
+    /// The sessions that viewers have ended.
+    pub(super) fn ended_by_viewers(&mut self, now: Micros) -> Vec<RequestId> {
+        self.expire(now);
+        self.ends.keys().filter(|(_, streamer)| streamer.is_none()).map(|(id, _)| *id).collect()
+    }
+
     /// Keeps a streamer's release of a session.
     pub(super) fn keep_release(
         &mut self,
@@ -88,11 +105,15 @@
         self.update_sender(sender, |ends| {
             ends.insert((now, scope));
         });
-        if self.ends.len() <= MAX_ENDS {
+        let inherited = self.by_sender.get(&Sender::Predecessor).map_or(0, BTreeSet::len);
+        if self.ends.len() - inherited <= MAX_ENDS && inherited <= MAX_INHERITED_ENDS {
             self.overflowed = false;
             return Kept::Added;
         }
-        self.drop_oldest_of_largest_sender();
+        self.drop_oldest_of(match sender {
+            Sender::Predecessor => Some(sender),
+            Sender::Viewer(_) | Sender::Streamer(_) => self.largest_sender(),
+        });
         if std::mem::replace(&mut self.overflowed, true) { Kept::StillFull } else { Kept::Overflowed }
     }
 
@@ -139,9 +160,15 @@
         Some(reason)
     }
 
-    fn drop_oldest_of_largest_sender(&mut self) {
-        let largest = self.by_count.last().and_then(|(_, sender)| self.by_sender.get(sender));
-        if let Some((_, scope)) = largest.and_then(BTreeSet::first).copied() {
+    /// The sender of most ends, other than the previous process.
+    fn largest_sender(&self) -> Option<Sender> {
+        let senders = self.by_count.iter().rev().map(|(_, sender)| *sender);
+        senders.into_iter().find(|sender| *sender != Sender::Predecessor)
+    }
+
+    fn drop_oldest_of(&mut self, sender: Option<Sender>) {
+        let ends = sender.and_then(|sender| self.by_sender.get(&sender));
+        if let Some((_, scope)) = ends.and_then(BTreeSet::first).copied() {
             self.remove(scope);
         }
     }
--- a/crates/core/src/director/ledger/mod.rs
+++ b/crates/core/src/director/ledger/mod.rs
@@ -4,14 +4,15 @@
 //! one of its attempts is in flight at a time, and nothing from a canceled attempt reaches the viewer.
 mod closed;
 mod early_ends;
+mod outbox;
 mod streamers;
+mod succession;
 mod viewers;
 
-use super::counters::{ClassOutcomes, Counters};
 use super::messages::*;
-use super::metrics::Counter;
 use crate::interface::*;
-use early_ends::{EarlyEnds, Kept};
+use early_ends::EarlyEnds;
+pub(in crate::director) use outbox::Outbox;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use streamers::StreamerRelease;
@@ -80,44 +81,6 @@
     established: usize,
 }
 
-/// Collects the results of ledger steps: events for the controller and outputs for the transport.
-#[derive(Default)]
-pub(in crate::director) struct Outbox {
-    pub(in crate::director) events: Vec<Event>,
-    pub(in crate::director) outputs: Vec<Output>,
-    pub(in crate::director) counters: Counters,
-}
-
-impl Outbox {
-    /// Counts the end of an established session, and notifies its viewer unless [`SessionEnd::Left`] is the
-    /// reason.
-    fn session_released(&mut self, link: ViewerLink, id: RequestId, reason: SessionEnd) {
-        match reason {
-            SessionEnd::Ended => self.counters.ended += 1,
-            SessionEnd::Cut => self.counters.cut += 1,
-            SessionEnd::Left => return self.counters.viewer_ended += 1,
-        }
-        self.outputs.push(Output::Release(link, id, reason));
-    }
-
-    /// Counts an end that was kept for a session that may be handed over. An overflow is logged once.
-    fn end_kept(&mut self, kept: Kept) {
-        self.counters.ends_kept += 1;
-        self.counters.ends_dropped += u64::from(kept != Kept::Added);
-        if kept == Kept::Overflowed {
-            let line = "too many ends of unknown sessions; the oldest ones of the largest sender are dropped";
-            self.outputs.push(Output::Log(line.into()));
-        }
-    }
-
-    /// Increments one of the final-answer counters of a class.
-    fn count_answer(&mut self, class: ClassId, counter: impl Fn(&mut ClassOutcomes) -> &mut Counter) {
-        if let Some(of_class) = self.counters.operations.get_mut(class.0) {
-            *counter(of_class) += 1;
-        }
-    }
-}
-
 /// All sessions of the director.
 #[derive(Default)]
 pub(in crate::director) struct Ledger {
@@ -170,18 +133,6 @@
         }
     }
 
-    /// The established sessions with their rungs.
-    pub(in crate::director) fn session_rungs(&self) -> Vec<(RequestId, usize)> {
-        let established =
-            self.sessions.iter().filter(|(_, s)| matches!(s.state, SessionState::Established { .. }));
-        established.map(|(id, s)| (*id, s.rung)).collect()
-    }
-
-    /// Loads the rungs that the previous process recorded; each applies once its session is handed over.
-    pub(in crate::director) fn restore_rungs(&mut self, rungs: Vec<(RequestId, usize)>) {
-        self.inherited_rungs.extend(rungs);
-    }
-
     /// Whether the ledger holds this session, pending or established.
     pub(in crate::director) fn contains(&self, id: RequestId) -> bool {
         self.sessions.contains_key(&id)
@@ -300,6 +251,7 @@
             Input::Contact { streamer, up } => {
                 out.events.push(Event::ConnectResult { streamer, connected: up })
             }
+            Input::Inherited(handover) => self.inherit(now, handover, out),
             Input::DropHeard(_) => {}
             Input::LaidDown(ids) => ids.into_iter().for_each(|id| self.relinquish_session(id, out)),
             Input::Lost(streamer) => self.end_lost_sessions(streamer, Micros::MAX, out),
@@ -366,7 +318,7 @@
                 let (link, streamer) = (*link, *streamer);
                 out.counters.moved += 1;
                 out.outputs.push(Output::MoveOff(link, request));
-                out.outputs.push(Output::Drop(streamer, request));
+                out.release_at_streamer(streamer, request);
                 self.remove_session(request, streamer, Outcome::Canceled, LoadReport::default(), out);
             }
             Action::Probe(streamer) => {
--- a/crates/core/src/director/ledger/streamers.rs
+++ b/crates/core/src/director/ledger/streamers.rs
@@ -122,7 +122,7 @@
             }
             _ => {
                 out.counters.late_answers += 1;
-                out.outputs.push(Output::Drop(streamer, id));
+                out.release_at_streamer(streamer, id);
             }
         }
     }
@@ -149,7 +149,7 @@
         let Some(session) = self.sessions.get(&id) else { return };
         let SessionState::Established { streamer, .. } = session.state else { return };
         out.session_released(session.link, id, reason);
-        out.outputs.push(Output::Drop(streamer, id));
+        out.release_at_streamer(streamer, id);
         self.remove_session(id, streamer, outcome, LoadReport::default(), out);
     }
 
@@ -326,7 +326,7 @@
             }
             out.counters.cut += 1;
             out.outputs.push(Output::Release(session.link, id, SessionEnd::Cut));
-            out.outputs.push(Output::Drop(streamer, id)); // in case it comes back with the session
+            out.release_at_streamer(streamer, id); // in case it comes back with the session
             self.remove_session(id, streamer, Outcome::Reset, LoadReport::default(), out);
         }
     }
--- /dev/null
+++ b/crates/core/src/director/ledger/succession.rs
@@ -0,0 +1,39 @@
+//! What one process of a director leaves to the process that replaces it.
+use super::super::messages::*;
+use super::{Ledger, Outbox, SessionState};
+use crate::interface::*;
+
+impl Ledger {
+    /// What a successor has to know: the established sessions, and the ends that it may not have heard of.
+    pub(in crate::director) fn handover(&mut self, now: Micros, out: &Outbox) -> Handover {
+        let established =
+            self.sessions.iter().filter(|(_, s)| matches!(s.state, SessionState::Established { .. }));
+        Handover {
+            rungs: established.map(|(id, s)| (*id, s.rung)).collect(),
+            ended: self.early_ends.ended_by_viewers(now),
+            released: out.recent_releases.iter().copied().collect(),
+        }
+    }
+
+    /// Stores rungs that apply once their sessions are handed over.
+    pub(in crate::director) fn restore_rungs(&mut self, rungs: Vec<(RequestId, usize)>) {
+        self.inherited_rungs.extend(rungs);
+    }
+
+    /// Loads what the previous process has left. Its rungs apply once their sessions are handed over, and so do
+    /// the ends. Of the sessions held already, those end that viewers have ended at the previous process. Those
+    /// that it released itself do not: they were set up anew here.
+    pub(in crate::director) fn inherit(&mut self, now: Micros, handover: Handover, out: &mut Outbox) {
+        self.restore_rungs(handover.rungs);
+        for id in handover.ended {
+            match self.sessions.get(&id).map(|s| s.state) {
+                Some(SessionState::Established { .. }) => self.handle_viewer_left(now, NO_LINK, id, out),
+                Some(_) => {}
+                None => out.end_kept(self.early_ends.keep_inherited_end(now, id)),
+            }
+        }
+        for id in handover.released.into_iter().filter(|id| !self.sessions.contains_key(id)) {
+            out.end_kept(self.early_ends.keep_inherited_end(now, id));
+        }
+    }
+}
--- a/crates/core/src/director/ledger/viewers.rs
+++ b/crates/core/src/director/ledger/viewers.rs
@@ -88,7 +88,7 @@
         }
         if ended_by_viewer {
             out.counters.viewer_ended += 1;
-            out.outputs.push(Output::Drop(streamer, id));
+            out.release_at_streamer(streamer, id);
             return;
         }
         if self.streamers.get(&streamer).is_none_or(|s| *s == Standing::Gone) {
@@ -145,7 +145,7 @@
         }
         if let SessionState::Established { streamer, .. } = session.state {
             out.counters.viewer_ended += 1;
-            out.outputs.push(Output::Drop(streamer, id));
+            out.release_at_streamer(streamer, id);
             return self.remove_session(id, streamer, Outcome::Canceled, LoadReport::default(), out);
         }
         if session.answer_pending {
@@ -162,7 +162,7 @@
             return;
         };
         out.counters.undelivered += 1;
-        out.outputs.push(Output::Drop(streamer, id));
+        out.release_at_streamer(streamer, id);
         self.remove_session(id, streamer, Outcome::Canceled, LoadReport::default(), out);
     }
 
--- a/crates/core/src/director/messages.rs
+++ b/crates/core/src/director/messages.rs
@@ -23,6 +23,20 @@
 /// A streamer's description of an established session, forwarded without being interpreted.
 pub type Description = Vec<u8>;
 
+/// No viewer connection: the link of what came from elsewhere.
+pub const NO_LINK: ViewerLink = ViewerLink(usize::MAX);
+
+/// What a process of a director leaves to the process that replaces it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Handover {
+    /// The established sessions, with their rungs.
+    pub rungs: Vec<(RequestId, usize)>,
+    /// Sessions that viewers have ended and that this process did not hold: the other one may.
+    pub ended: Vec<RequestId>,
+    /// Sessions that this process has released lately at their streamers, which may not have heard of it yet.
+    pub released: Vec<RequestId>,
+}
+
 /// Identifies one attempt to set up a session.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Attempt {
@@ -151,6 +165,8 @@
         /// Load report from the same message.
         report: LoadReport,
     },
+    /// What the previous process of this director has left.
+    Inherited(Handover),
     /// A streamer acknowledged the release of a session, which has ended there. The ledger does not change.
     DropHeard(RequestId),
     /// These sessions now belong to another director. The ledger removes them without ending the established
--- a/crates/core/src/director/mod.rs
+++ b/crates/core/src/director/mod.rs
@@ -86,12 +86,12 @@
         std::mem::take(&mut self.outbox.outputs)
     }
 
-    /// Returns the established sessions and their rungs, for the successor process.
-    pub fn sessions_to_hand_over(&self) -> Vec<(RequestId, usize)> {
-        self.ledger.session_rungs()
+    /// Returns what the successor process has to know, also after [`Director::close`].
+    pub fn handover(&mut self, now: Micros) -> Handover {
+        self.ledger.handover(now, &self.outbox)
     }
 
-    /// Stores the rungs that the predecessor process recorded. They apply once its sessions are handed over.
+    /// Stores the rungs of sessions that are taken over. They apply once the sessions are handed over.
     pub fn set_inherited_rungs(&mut self, rungs: Vec<(RequestId, usize)>) {
         self.ledger.restore_rungs(rungs);
     }
--- a/src/net/estate.rs
+++ b/src/net/estate.rs
@@ -1,19 +1,24 @@
 //! The hand-over file between two processes of a director, in a shared folder: the rungs of the established
-//! sessions. This module owns the file; whether there is a successor, and what becomes of the contents, is
-//! decided elsewhere.
+//! sessions, and ends of sessions that only one of the two knows. This module owns the file; whether there is a
+//! successor, and what becomes of the contents, is decided elsewhere.
 //!
 //! A file is complete or absent: it is written under a temporary name and renamed. It is read once, and
 //! removed.
+use crate::director::Handover;
 use crate::interface::RequestId;
 use serde::{Deserialize, Serialize};
 use std::io;
 use std::path::{Path, PathBuf};
 
-/// Version of the file's format; files of another version are not read.
-const FORMAT_VERSION: u8 = 1;
+/// Version of the file's format. Files of other versions are not read, but for [`RUNGS_ONLY_VERSION`].
+const FORMAT_VERSION: u8 = 2;
+/// Version whose files hold nothing but rungs.
+const RUNGS_ONLY_VERSION: u8 = 1;
 /// The largest number of sessions, and the largest file that is read.
 const MAX_SESSIONS: usize = 65_536;
 const MAX_FILE_BYTES: u64 = 1 << 20;
+/// The largest number of messages to viewers.
+const MAX_MESSAGES: usize = 4_096;
 
 /// Why nothing could be written or read. Sessions go on regardless, at rungs that have to be found out again.
 #[derive(Debug, thiserror::Error)]
@@ -26,11 +31,30 @@
     Format(PathBuf),
 }
 
+/// What one process leaves to the next one.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Estate {
+    /// For the core.
+    pub handover: Handover,
+    /// Encoded messages about ends of sessions that found no viewer connection.
+    pub unsent_ends: Vec<Vec<u8>>,
+}
+
 #[derive(Serialize, Deserialize)]
 struct HandOverFile {
     #[serde(rename = "form")]
     format: u8,
     sessions: Vec<(u64, u8)>,
+    ended: Vec<u64>,
+    released: Vec<u64>,
+    unsent_ends: Vec<Vec<u8>>,
+}
+
+#[derive(Serialize, Deserialize)]
+struct RungsOnlyFile {
+    #[serde(rename = "form")]
+    format: u8,
+    sessions: Vec<(u64, u8)>,
 }
 
 /// The path of the file, from the director's name.
@@ -40,10 +64,18 @@
 }
 
 /// Writes the file.
-pub fn write(path: &Path, sessions: &[(RequestId, usize)]) -> Result<(), HandOverError> {
-    let sessions = sessions.iter().take(MAX_SESSIONS);
-    let sessions = sessions.map(|(id, rung)| (id.0, u8::try_from(*rung).unwrap_or(u8::MAX))).collect();
-    let bytes = postcard::to_allocvec(&HandOverFile { format: FORMAT_VERSION, sessions }).unwrap_or_default();
+pub fn write(path: &Path, estate: &Estate) -> Result<(), HandOverError> {
+    let Estate { handover, unsent_ends } = estate;
+    let rungs = handover.rungs.iter().take(MAX_SESSIONS);
+    let numbers = |ids: &[RequestId]| ids.iter().map(|id| id.0).collect();
+    let file = HandOverFile {
+        format: FORMAT_VERSION,
+        sessions: rungs.map(|(id, rung)| (id.0, u8::try_from(*rung).unwrap_or(u8::MAX))).collect(),
+        ended: numbers(&handover.ended),
+        released: numbers(&handover.released),
+        unsent_ends: unsent_ends.iter().take(MAX_MESSAGES).cloned().collect(),
+    };
+    let bytes = postcard::to_allocvec(&file).unwrap_or_default();
     let temporary = path.with_extension(format!("{}", std::process::id()));
     let moved = std::fs::write(&temporary, bytes).and_then(|()| std::fs::rename(&temporary, path));
     moved.map_err(|why| {
@@ -52,22 +84,33 @@
     })
 }
 
-/// Reads the file and removes it; empty if there is none.
-pub fn take(path: &Path) -> Result<Vec<(RequestId, usize)>, HandOverError> {
+/// Reads the file and removes it; `None` if there is none.
+pub fn take(path: &Path) -> Result<Option<Estate>, HandOverError> {
     let error = |why| HandOverError::File(path.to_owned(), why);
     let length = match std::fs::metadata(path) {
         Ok(metadata) => metadata.len(),
-        Err(why) if why.kind() == io::ErrorKind::NotFound => return Ok(Vec::new()),
+        Err(why) if why.kind() == io::ErrorKind::NotFound => return Ok(None),
         Err(why) => return Err(error(why)),
     };
     let bytes = if length <= MAX_FILE_BYTES { std::fs::read(path).map_err(error)? } else { Vec::new() };
     std::fs::remove_file(path).map_err(error)?;
-    match postcard::from_bytes::<HandOverFile>(&bytes) {
-        Ok(HandOverFile { format: FORMAT_VERSION, sessions }) => {
-            Ok(sessions.into_iter().map(|(id, rung)| (RequestId(id), usize::from(rung))).collect())
+    parse(&bytes).map(Some).ok_or_else(|| HandOverError::Format(path.to_owned()))
+}
+
+fn parse(bytes: &[u8]) -> Option<Estate> {
+    let file = match *bytes.first()? {
+        FORMAT_VERSION => postcard::from_bytes::<HandOverFile>(bytes).ok()?,
+        RUNGS_ONLY_VERSION => {
+            let RungsOnlyFile { format, sessions } = postcard::from_bytes(bytes).ok()?;
+            let (ended, released, unsent_ends) = Default::default();
+            HandOverFile { format, sessions, ended, released, unsent_ends }
         }
-        _ => Err(HandOverError::Format(path.to_owned())),
-    }
+        _ => return None,
+    };
+    let ids = |numbers: Vec<u64>| numbers.into_iter().map(RequestId).collect();
+    let rungs = file.sessions.into_iter().map(|(id, rung)| (RequestId(id), usize::from(rung))).collect();
+    let handover = Handover { rungs, ended: ids(file.ended), released: ids(file.released) };
+    Some(Estate { handover, unsent_ends: file.unsent_ends })
 }
 
 #[cfg(test)]
@@ -79,13 +122,15 @@
         let folder = std::env::temp_dir().join(format!("stonewharf-estate-{}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a folder");
         let path = file_path(&folder, "n/0");
-        assert_eq!(take(&path).expect("nothing yet"), Vec::new());
-        let sessions = vec![(RequestId(7), 3), (RequestId(u64::MAX), 0)];
-        write(&path, &[]).expect("written");
-        write(&path, &sessions).expect("written again");
-        assert_eq!(take(&path).expect("read"), sessions);
-        assert_eq!(take(&path).expect("read once"), Vec::new());
-        write(&path, &sessions).expect("written");
+        assert_eq!(take(&path).expect("nothing yet"), None);
+        let rungs = vec![(RequestId(7), 3), (RequestId(u64::MAX), 0)];
+        let handover = Handover { rungs, ended: vec![RequestId(8)], released: vec![RequestId(9)] };
+        let estate = Estate { handover, unsent_ends: vec![vec![1, 2]] };
+        write(&path, &Estate::default()).expect("written");
+        write(&path, &estate).expect("written again");
+        assert_eq!(take(&path).expect("read"), Some(estate.clone()));
+        assert_eq!(take(&path).expect("read once"), None);
+        write(&path, &estate).expect("written");
         let mut bytes = std::fs::read(&path).expect("there");
         for cut in 0..bytes.len() {
             std::fs::write(&path, &bytes[..cut]).expect("cut short");
@@ -95,8 +140,17 @@
         std::fs::write(&path, &bytes).expect("another format");
         let why = take(&path).expect_err("another format").to_string();
         assert!(why.contains("another version"), "{why}");
-        assert!(write(&folder.join("none/at/all"), &sessions).is_err());
+        assert!(write(&folder.join("none/at/all"), &estate).is_err());
         assert_eq!(std::fs::read_dir(&folder).expect("there").count(), 0, "no file is left behind");
         let _ = std::fs::remove_dir_all(&folder);
     }
+
+    /// The process that is replaced may be of the version before.
+    #[test]
+    fn a_file_that_holds_only_rungs_is_read() {
+        let file = RungsOnlyFile { format: RUNGS_ONLY_VERSION, sessions: vec![(7, 3)] };
+        let estate = parse(&postcard::to_allocvec(&file).expect("encoded")).expect("read");
+        let handover = Handover { rungs: vec![(RequestId(7), 3)], ..Handover::default() };
+        assert_eq!(estate, Estate { handover, unsent_ends: Vec::new() });
+    }
 }
--- a/src/net/hand.rs
+++ b/src/net/hand.rs
@@ -5,7 +5,7 @@
 use super::clock::Clock;
 use super::peers::Peers;
 use super::shared::Shared;
-use crate::director::{Input, SessionEnd, ViewerLink};
+use crate::director::{Input, NO_LINK, SessionEnd};
 use crate::interface::{LoadReport, Micros, RequestId, StreamerId};
 use crate::platform::rtsp;
 use crate::settings::NamedRequest;
@@ -18,9 +18,6 @@
 };
 use stonewharf_fleet::{Phase, Standing};
 
-/// Link of sessions that were taken over: they have no viewer connection here.
-const NO_LINK: ViewerLink = ViewerLink(usize::MAX);
-
 /// Tells whether this director may act on a session, checked as bytes are written: what was decided before
 /// this process was paused must not be sent afterwards.
 #[derive(Clone)]
--- a/src/net/lifecycle.rs
+++ b/src/net/lifecycle.rs
@@ -3,7 +3,7 @@
 //! The lifecycle itself is decided in the core (`director::Lifecycle`).
 use super::poll::Token;
 use super::shared::Deadline;
-use super::{Node, estate, signals};
+use super::{Node, signals};
 use crate::director::{ClientActions, CloseScope, Input, Output};
 use crate::interface::{Micros, RequestId};
 use crate::platform::admin::AdminRequest;
@@ -99,20 +99,6 @@
         self.schedule_lifecycle_poll();
     }
 
-    /// Loads the rungs that the predecessor process recorded, before the first of its sessions is handed
-    /// over.
-    pub(super) fn load_handover(&mut self) {
-        let Some(place) =
-            self.handover_file.as_ref().filter(|_| !std::mem::replace(&mut self.handover_loaded, true))
-        else {
-            return;
-        };
-        match estate::take(place) {
-            Ok(rungs) => self.director.set_inherited_rungs(rungs),
-            Err(why) => warn!(self.shared.log, "the rungs of the previous process can't be loaded: {why}"),
-        }
-    }
-
     /// Schedules the next lifecycle poll, if the state may change with time.
     fn schedule_lifecycle_poll(&mut self) {
         if let Some(after) = self.lifecycle.poll_interval() {
@@ -198,20 +184,20 @@
         if finished || timed_out && !self.components.viewers.has_pending_writes() {
             self.phase = ShutdownPhase::Done;
         }
+        if self.phase == ShutdownPhase::Done {
+            let unsent_ends = self.components.viewers.take_unsent_releases(&self.shared);
+            self.write_estate(unsent_ends);
+        }
     }
 
     /// Closes all requests and sessions in the core. The process stays for a bounded time until answers and
     /// releases are written and connections are closed.
     fn close_sessions(&mut self) {
         self.phase = ShutdownPhase::Closing { since: self.shared.now };
-        if let Some(place) = &self.handover_file
-            && let Err(why) = estate::write(place, &self.director.sessions_to_hand_over())
-        {
-            warn!(self.shared.log, "rungs can't be stored for the next process: {why}");
-        }
         let outputs = self.director.close(self.hands_over_sessions());
         outputs.into_iter().for_each(|output| self.execute(output));
         self.components.streamers.flush(&mut self.shared);
+        self.write_estate(Vec::new()); // in case the platform kills the process before its end
         self.components.peers.iter_mut().for_each(|peers| peers.leave(&mut self.shared));
         self.components.viewers.close_all(&self.shared);
         if self.components.viewers.has_pending_writes() || self.components.streamers.has_unwritten() {
--- a/src/net/messages.rs
+++ b/src/net/messages.rs
@@ -69,7 +69,7 @@
                 }
             };
         if set_up.playing_at.is_some() {
-            self.load_handover();
+            self.load_estate();
         } else {
             let max_rung = set_up.max_rung.and_then(|top| u32::try_from(top).ok());
             self.continuity_note_request(set_up.session, || RequestSummary {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -25,10 +25,12 @@
 mod startup;
 mod store;
 mod streamers;
+mod succession;
 mod trace;
 mod viewers;
 
 use crate::director::{Counters, Director, Input, Lifecycle, MetricsRegistry, Output, SessionEnd};
+use crate::interface::Micros;
 use crate::platform::{rtsp, viewer};
 use crate::settings::{NameRegistry, RawSettings, TransportSettings};
 use agreed::Agreed;
@@ -73,11 +75,13 @@
     stop_requested: bool,
     lifecycle: Lifecycle,
     metrics: MetricsRegistry,
-    /// File through which a process of this director hands the rungs of its established sessions to its
-    /// successor, if the platform replaces processes.
+    /// File through which a process of this director tells its successor of its sessions, if the platform
+    /// replaces processes.
     handover_file: Option<PathBuf>,
-    /// Whether the predecessor's handover file has been read.
-    handover_loaded: bool,
+    /// When the predecessor's handover file was last looked for.
+    estate_checked_at: Option<Micros>,
+    /// When to stop looking for it.
+    estate_poll_ends_at: Micros,
     phase: ShutdownPhase,
     /// Whether inputs and outputs are logged at the level `trace`.
     tracing: bool,
@@ -212,6 +216,7 @@
             Deadline::Agreement | Deadline::Closing => {} // handled at the end of the turn
             Deadline::Core(due) => self.shared.inputs.push(Input::Due(due)),
             Deadline::LifecyclePoll => self.poll_lifecycle(),
+            Deadline::EstatePoll => self.poll_estate(),
             Deadline::PhaseEnd => self.end_phase(),
             deadline => self.components.on_deadline(&mut self.shared, &self.director, deadline),
         }
--- a/src/net/shared.rs
+++ b/src/net/shared.rs
@@ -31,6 +31,8 @@
     AdminConnection(Token),
     /// Poll the lifecycle, which tells which viewer connections to close.
     LifecyclePoll,
+    /// Look for what the previous process of this director has left.
+    EstatePoll,
     /// The fleet membership has work to do.
     Fleet,
     /// The replicated log has work to do.
--- a/src/net/startup.rs
+++ b/src/net/startup.rs
@@ -227,13 +227,15 @@
             lifecycle,
             metrics,
             handover_file: config.shared_dir().map(|folder| estate::file_path(folder, &config.name)),
-            handover_loaded: false,
+            estate_checked_at: None,
+            estate_poll_ends_at: 0,
             phase: ShutdownPhase::Serving,
             tracing: false,
         };
         config.known.events.iter().for_each(|event| node.handle_discovery_event(event, true));
         node.components.discovery.check_deadline(&mut node.shared);
         node.components.streamers.start(&mut node.shared);
+        node.start_estate_poll();
         Ok(node)
     }
 }
--- a/src/net/viewers/sends.rs
+++ b/src/net/viewers/sends.rs
@@ -2,7 +2,7 @@
 //! which may be sent on any viewer connection or wait for the next one.
 use super::Viewers;
 use super::connection::{CloseReason, Stall, UnsentMessage, ViewerConnection};
-use crate::director::{Input, ViewerLink};
+use crate::director::{Input, NO_LINK, ViewerLink};
 use crate::interface::{Micros, RequestId};
 use crate::net::component::Ready;
 use crate::net::poll::Token;
@@ -184,11 +184,32 @@
         shared.inputs.extend(unread.into_iter().map(Input::Unread));
     }
 
+    /// Sends ends of sessions that the previous process could not send.
+    pub fn send_inherited_releases(&mut self, shared: &mut Shared, messages: Vec<Vec<u8>>) {
+        for bytes in messages.into_iter().filter(|bytes| viewer::ends_session(bytes)) {
+            self.send_release(shared, NO_LINK, bytes);
+        }
+    }
+
+    /// Removes and returns the ends of sessions that are not completely written and not too old to be sent.
+    pub fn take_unsent_releases(&mut self, shared: &Shared) -> Vec<Vec<u8>> {
+        let queued = std::mem::take(&mut self.queued_releases);
+        let in_time = |queued_at: Micros| queued_at.saturating_add(QUEUED_RELEASE_TTL_US) > shared.now;
+        let queued = queued.into_iter().filter(|(at, _)| in_time(*at)).map(|(_, bytes)| bytes);
+        let connections = std::mem::take(&mut self.connections);
+        let unsent = connections.into_values().flat_map(ViewerConnection::into_unsent);
+        let unsent = unsent.filter_map(|message| match message {
+            UnsentMessage::Release(bytes) => Some(bytes),
+            UnsentMessage::Answer(_) => None,
+        });
+        queued.chain(unsent).collect()
+    }
+
     /// Sends the queued releases, except for those that have waited too long.
     pub(super) fn send_queued_releases(&mut self, shared: &mut Shared) {
         for (queued_at, bytes) in std::mem::take(&mut self.queued_releases) {
             if queued_at.saturating_add(QUEUED_RELEASE_TTL_US) > shared.now {
-                self.send_release(shared, ViewerLink(0), bytes);
+                self.send_release(shared, NO_LINK, bytes);
             } else {
                 warn!(shared.log, "release dropped: no viewer connection within its time limit";
                     "session" => viewer::session_hex(&bytes));
--- a/src/platform/viewer.rs
+++ b/src/platform/viewer.rs
@@ -234,6 +234,13 @@
     message.get(3..11).unwrap_or_default().iter().map(|byte| format!("{byte:02x}")).collect()
 }
 
+/// Returns whether an encoded message tells a viewer of the end of a session.
+pub fn ends_session(message: &[u8]) -> bool {
+    let length = message.first_chunk().map(|length| usize::from(u16::from_be_bytes(*length)));
+    length.is_some_and(|length| length + 2 == message.len() && length >= 9)
+        && matches!(message.get(2), Some(&(RELEASE | MOVE)))
+}
+
 /// Encodes a release: the request failed if it has not been answered, otherwise the session ended.
 pub fn release(session: RequestId, cause: u8) -> Vec<u8> {
     encode(RELEASE, session, &[(PARAM_CAUSE, &[cause])])
--- a/tests/early_ends.rs
+++ b/tests/early_ends.rs
@@ -132,6 +132,6 @@
             Output::Drop(streamers[2], RequestId(3)),
         ]
     );
-    let left: Vec<_> = director.sessions_to_hand_over().into_iter().map(|(id, _)| id).collect();
+    let left: Vec<_> = director.handover(now).rungs.into_iter().map(|(id, _)| id).collect();
     assert_eq!(left, [RequestId(4)]);
 }
--- a/tests/estate.rs
+++ b/tests/estate.rs
@@ -45,9 +45,9 @@
     director.turn(S, [playing(1), playing(2)]);
     let (streamer, kind) = (StreamerId(0), NoteKind::Rung);
     director.turn(S, [Input::Noted { streamer, session: RequestId(2), kind, value: 3.0 }]);
-    assert_eq!(director.sessions_to_hand_over(), vec![(RequestId(1), 0), (RequestId(2), 3)]);
+    assert_eq!(director.handover(S).rungs, vec![(RequestId(1), 0), (RequestId(2), 3)]);
     director.turn(S, [Input::ViewerLeft(ViewerLink(1), RequestId(1))]);
-    assert_eq!(director.sessions_to_hand_over(), vec![(RequestId(2), 3)]);
+    assert_eq!(director.handover(S).rungs, vec![(RequestId(2), 3)]);
     let outputs = director.close(true);
     assert!(
         !outputs.iter().any(|output| matches!(output, Output::Release(..) | Output::Drop(..))),
--- a/tests/replacement.rs
+++ b/tests/replacement.rs
@@ -64,3 +64,71 @@
     assert_eq!(read_teardown(&mut streamer), 0xc6);
     assert_eq!(new.metric("open_requests"), 1);
 }
+
+/// A viewer ended a session of the new process on a connection to the old one, which still accepted viewers. The
+/// old one forgot it, and the session was left standing.
+#[test]
+fn a_session_of_the_new_process_that_is_ended_at_the_old_one_is_not_left_standing() {
+    let OldProcess { socket, mut old, mut viewer, mut streamer } = start_old_process();
+    streamer.write_all(&established_response(0xc2, "answer")).expect("written");
+    assert_eq!(read_message(&mut viewer).0, 9);
+    let new = Rig::on_listener(&socket, &old.streamer, &old.discovery);
+    let (_new_viewer, mut new_streamer) = establish_on_new_process(&new, &old, 0xd1);
+    end_sessions(&mut viewer, &[0xd1]);
+    old.signal("-TERM");
+    assert_closed(viewer);
+    assert!(old.child.wait().expect("ended").success());
+    assert_eq!(read_teardown(&mut new_streamer), 0xd1);
+    wait_until("the session has ended", || new.metric("open_requests") == 0);
+}
+
+/// A session ended at its streamer after the old process had ended its side of all viewers' connections. Its release
+/// waited for a next connection, which only the new process gets, and its viewer was never told.
+#[test]
+fn a_release_that_the_old_process_could_not_send_is_sent_by_the_new_one() {
+    let OldProcess { socket, mut old, mut viewer, mut streamer } = start_old_process();
+    streamer.write_all(&established_response(0xc2, "answer")).expect("written");
+    assert_eq!(read_message(&mut viewer).0, 9);
+    let new = Rig::on_listener(&socket, &old.streamer, &old.discovery);
+    old.signal("-TERM");
+    next_line(&mut old.log, "asked to end");
+    assert_eq!(
+        std::io::Read::read(&mut viewer, &mut [0; 64]).unwrap_or(0),
+        0,
+        "the old process ends its side"
+    );
+    streamer.write_all(&teardown(0xc1)).expect("written");
+    wait_until("the old process has read the release", || old.metric("ended") == 1);
+    drop(viewer);
+    assert!(old.child.wait().expect("ended").success());
+    let mut new_viewer = new.viewer();
+    new_viewer.write_all(&set_up(0xd1, "unheard-of")).expect("written");
+    let mut told: Vec<(u8, u64)> =
+        (0..2).map(|_| read_message(&mut new_viewer)).map(|m| (m.0, m.1)).collect();
+    told.sort_unstable();
+    assert_eq!(told, [(12, 0xc1), (12, 0xd1)], "the end of the session, and the answer");
+}
+
+/// The old process ended a session for its viewer, and could not tell the streamer before its own end. The session
+/// still played, was handed over, and was left standing.
+#[test]
+fn a_session_whose_streamer_was_not_told_of_its_end_is_ended_by_the_new_process() {
+    let OldProcess { socket, mut old, mut viewer, mut streamer } = start_old_process();
+    streamer.write_all(&established_response(0xc2, "answer")).expect("written");
+    assert_eq!(read_message(&mut viewer).0, 9);
+    let new = Rig::on_listener(&socket, &old.streamer, &old.discovery);
+    let backlog_filler = fill_accept_queue(&old.streamer);
+    drop(streamer); // and no new connection comes up
+    end_sessions(&mut viewer, &[0xc1]);
+    old.signal("-TERM");
+    assert_closed(viewer);
+    assert!(old.child.wait().expect("ended").success());
+    while let Ok((stream, _)) = old.streamer.accept() {
+        drop(stream); // the connections that filled the queue
+    }
+    drop(backlog_filler);
+    let _platform = hand_over(&new, [0xc1, 0xc2]);
+    let mut streamer = new.streamer();
+    assert_eq!(read_teardown(&mut streamer), 0xc1);
+    assert_eq!(new.metric("open_requests"), 1);
+}
