A session handed over before discovery tells of its streamer waits for the streamer

Cause: a name that is not listed became a streamer that can't exist, and handle_handover released the viewer, with nobody to send the release to.

Fix: the name gets its number at once, and the session waits in the ledger (handovers.rs). Once the streamer is listed it stands, at its inherited rung, or is ended there if its viewer has ended it meanwhile. What waits passes to a successor: rungs of open sessions, and releases that were not sent. Sessions at a streamer that is told to be gone are over at once.

A takeover's sessions take the same input.

--- a/crates/core/src/director/ledger/closed.rs
+++ b/crates/core/src/director/ledger/closed.rs
@@ -27,6 +27,7 @@
             }
         }
         if !keep_established {
+            self.release_waiting_sessions(out);
             self.established_at.clear();
         }
         self.links.clear();
--- a/crates/core/src/director/ledger/mod.rs
+++ b/crates/core/src/director/ledger/mod.rs
@@ -4,6 +4,7 @@
 //! one of its attempts is in flight at a time, and nothing from a canceled attempt reaches the viewer.
 mod closed;
 mod early_ends;
+mod handovers;
 mod outbox;
 mod streamers;
 mod succession;
@@ -12,6 +13,7 @@
 use super::messages::*;
 use crate::interface::*;
 use early_ends::EarlyEnds;
+use handovers::WaitingSessions;
 pub(in crate::director) use outbox::Outbox;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
@@ -94,6 +96,8 @@
     /// Ends of sessions that are not known to be established, by viewers and streamers. A session that is
     /// being handed over may end before the handover arrives.
     early_ends: EarlyEnds,
+    /// Sessions that were handed over, and whose streamers discovery has not told of yet.
+    waiting: WaitingSessions,
     /// Rungs of sessions that are still to be handed over, as recorded by the previous process. Streamers do
     /// not report rungs again, and if a session were assumed to be at the lowest rung, an attempt to raise it
     /// would in fact step it down.
@@ -135,7 +139,7 @@
 
     /// Whether the ledger holds this session, pending or established.
     pub(in crate::director) fn contains(&self, id: RequestId) -> bool {
-        self.sessions.contains_key(&id)
+        self.sessions.contains_key(&id) || self.waiting.holds(id)
     }
 
     /// Gives up a session that belongs to another director from now on. An established session is removed
@@ -147,7 +151,7 @@
                 self.remove_session(id, streamer, Outcome::Canceled, LoadReport::default(), out);
             }
             Some(_) => self.fail_unanswered(id, out),
-            None => {}
+            None => self.forget_waiting_session(id, out),
         }
     }
 
@@ -163,7 +167,8 @@
 
     /// Number of requests that have no final answer or have an established session.
     pub(in crate::director) fn open_requests(&self) -> usize {
-        self.links.values().map(|l| l.pending.len() + l.established).sum()
+        let on_links: usize = self.links.values().map(|l| l.pending.len() + l.established).sum();
+        on_links + self.waiting.ids(false).count()
     }
 
     /// Number of unanswered requests on a viewer connection, and of established sessions that came on it.
@@ -193,7 +198,7 @@
     /// Updates the ledger for one input.
     pub(in crate::director) fn handle_input(&mut self, now: Micros, input: Input, out: &mut Outbox) {
         match input {
-            Input::List { scope, entries } => self.update_streamer_list(scope, entries, out),
+            Input::List { scope, entries } => self.update_streamer_list(now, scope, entries, out),
             Input::Wanted { link, request, parcel } => {
                 self.handle_session_request(now, link, request, parcel, out)
             }
@@ -274,6 +279,7 @@
             Input::Due(DeadlineKind::Timer(tag)) => out.events.push(Event::Timer(tag)),
             Input::Due(DeadlineKind::Attempt(attempt)) => self.handle_attempt_timeout(attempt, out),
             Input::Due(DeadlineKind::Answer(id)) => self.fail_unanswered(id, out),
+            Input::Due(DeadlineKind::Handover(id)) => self.handle_handover_deadline(now, id, out),
             Input::Hurry => {
                 let pending: Vec<_> = self.links.values().flat_map(|l| l.pending.iter().copied()).collect();
                 pending.into_iter().for_each(|id| self.fail_unanswered(id, out));
--- a/crates/core/src/director/ledger/streamers.rs
+++ b/crates/core/src/director/ledger/streamers.rs
@@ -17,7 +17,13 @@
 
 impl Ledger {
     /// Applies an update of the streamer list, and ends the sessions of streamers that are gone or restarted.
-    pub(super) fn update_streamer_list(&mut self, scope: ListScope, entries: Vec<Entry>, out: &mut Outbox) {
+    pub(super) fn update_streamer_list(
+        &mut self,
+        now: Micros,
+        scope: ListScope,
+        entries: Vec<Entry>,
+        out: &mut Outbox,
+    ) {
         out.counters.list_changes += 1;
         if matches!(scope, ListScope::Full | ListScope::Cached) {
             self.streamers.clear();
@@ -28,10 +34,12 @@
         let gone_streamers: Vec<_> = self.established_at.keys().copied().filter(is_gone).collect();
         let process_starts: Vec<_> =
             entries.iter().filter_map(|e| Some((e.streamer, e.started_at?))).collect();
+        let updated: Vec<StreamerId> = entries.iter().map(|e| e.streamer).collect();
         out.events.push(Event::List { scope, entries });
         gone_streamers.into_iter().for_each(|streamer| self.end_lost_sessions(streamer, Micros::MAX, out));
         // Sessions established before the streamer's process started were lost with the previous process.
         process_starts.into_iter().for_each(|(streamer, at)| self.end_lost_sessions(streamer, at, out));
+        self.admit_waiting_sessions(now, &updated, out);
     }
 
     /// Sends the next attempt of a request to a streamer. It is reported as ignored if the request is not
--- a/crates/core/src/director/ledger/succession.rs
+++ b/crates/core/src/director/ledger/succession.rs
@@ -8,11 +8,10 @@
     pub(in crate::director) fn handover(&mut self, now: Micros, out: &Outbox) -> Handover {
         let established =
             self.sessions.iter().filter(|(_, s)| matches!(s.state, SessionState::Established { .. }));
-        Handover {
-            rungs: established.map(|(id, s)| (*id, s.rung)).collect(),
-            ended: self.early_ends.ended_by_viewers(now),
-            released: out.recent_releases.iter().copied().collect(),
-        }
+        let mut rungs: Vec<_> = established.map(|(id, s)| (*id, s.rung)).collect();
+        rungs.extend(self.waiting.ids(false).filter_map(|id| Some((id, *self.inherited_rungs.get(&id)?))));
+        let released = out.recent_releases.iter().copied().chain(self.waiting.ids(true)).collect();
+        Handover { rungs, ended: self.early_ends.ended_by_viewers(now), released }
     }
 
     /// Stores rungs that apply once their sessions are handed over.
--- a/crates/core/src/director/ledger/viewers.rs
+++ b/crates/core/src/director/ledger/viewers.rs
@@ -1,4 +1,4 @@
-//! The viewer side of the ledger: new requests, handovers, viewers that leave, and final answers.
+//! The viewer side of the ledger: new requests, viewers that leave, and final answers.
 use super::super::messages::*;
 use super::{ANSWER_GRACE_US, ANSWER_MARGIN_US, Ledger, Outbox, Session, SessionState};
 use crate::interface::*;
@@ -15,11 +15,12 @@
         out: &mut Outbox,
     ) {
         let id = request.id;
-        if self.sessions.contains_key(&id) {
+        if self.contains(id) {
             return self.reject_set_up(link, id, out);
         }
         out.counters.taken += 1;
         self.early_ends.forget(id);
+        self.forget_waiting_session(id, out);
         let request = Request { beside: self.counts_on_link(link).0, ..request };
         let deadline = now.saturating_add(request.left_us.saturating_sub(ANSWER_MARGIN_US));
         let rung = self.lowest_rungs.get(request.class.0).copied().unwrap_or(0);
@@ -66,65 +67,6 @@
         out.outputs.push(Output::Spurn(link, id));
     }
 
-    /// Takes over a session that already plays at a streamer. It is released at once if its viewer or the
-    /// streamer has ended it before the handover, or if the streamer is not in the list.
-    pub(super) fn handle_handover(
-        &mut self,
-        now: Micros,
-        link: ViewerLink,
-        request: Request,
-        streamer: StreamerId,
-        out: &mut Outbox,
-    ) {
-        let id = request.id;
-        if self.sessions.contains_key(&id) {
-            return; // a handover may repeat a session that this director holds
-        }
-        out.counters.handed_over += 1;
-        let ended_by_viewer = self.early_ends.ended_by_viewer(now, id);
-        if let Some(reason) = self.early_ends.take_release(now, id, streamer) {
-            let reason = if ended_by_viewer { SessionEnd::Left } else { reason };
-            return out.session_released(link, id, reason);
-        }
-        if ended_by_viewer {
-            out.counters.viewer_ended += 1;
-            out.release_at_streamer(streamer, id);
-            return;
-        }
-        if self.streamers.get(&streamer).is_none_or(|s| *s == Standing::Gone) {
-            out.counters.cut += 1;
-            out.outputs.push(Output::Release(link, id, SessionEnd::Cut));
-            return;
-        }
-        let inherited_rung = self.inherited_rungs.remove(&id);
-        let rung = inherited_rung.or_else(|| self.lowest_rungs.get(request.class.0).copied()).unwrap_or(0);
-        let state = SessionState::Established { streamer, since: now };
-        let parcel = Rc::default();
-        let class = request.class;
-        let (attempts, last_sent_at, resend_by, deadline, answer_pending) = (0, 0, Micros::MAX, 0, false);
-        let session = Session {
-            link,
-            class,
-            parcel,
-            state,
-            rung,
-            attempts,
-            last_sent_at,
-            resend_by,
-            deadline,
-            answer_pending,
-        };
-        self.sessions.insert(id, session);
-        self.established_at.entry(streamer).or_default().insert(id);
-        self.update_link(link, |l| l.established += 1);
-        out.events.push(Event::Preexisting(request, streamer));
-        if inherited_rung.is_some() {
-            let (kind, value) = (NoteKind::Rung, rung as f64);
-            out.events.push(Event::Note { request: id, streamer, kind, value });
-        }
-        out.outputs.push(Output::Attend(streamer));
-    }
-
     /// Ends a session or cancels a pending set-up at the viewer's request. An established session may be
     /// ended from any connection, a pending set-up may be canceled only from its own. The end of a session
     /// that is not known here is kept: another process may hold it and hand it over.
@@ -135,6 +77,9 @@
         id: RequestId,
         out: &mut Outbox,
     ) {
+        if self.end_waiting_session(now, id, out) {
+            return;
+        }
         let Some(session) = self.sessions.get(&id) else {
             out.counters.strays += 1;
             return out.end_kept(self.early_ends.keep_viewer_end(now, id, link));
--- a/crates/core/src/director/messages.rs
+++ b/crates/core/src/director/messages.rs
@@ -75,6 +75,8 @@
     Attempt(Attempt),
     /// The time limit for the viewer's final answer has passed.
     Answer(RequestId),
+    /// The wait for the streamer of a session that was handed over, or the time for which it is kept, is over.
+    Handover(RequestId),
 }
 
 /// An event that the ledger processes.
@@ -96,7 +98,8 @@
         /// The payload to forward with it.
         parcel: Rc<Parcel>,
     },
-    /// A session that already plays at a streamer is handed over to this director.
+    /// A session that already plays at a streamer is handed over to this director. The streamer may not be
+    /// listed yet.
     Playing {
         /// The connection that the request came on.
         link: ViewerLink,
@@ -253,6 +256,8 @@
     Probe(StreamerId),
     /// Keep the streamer reachable: it has an established session, whose messages must be able to arrive.
     Attend(StreamerId),
+    /// Forget the name of a streamer that is not listed.
+    Forget(StreamerId),
     /// Set a deadline.
     Wake(Micros, DeadlineKind),
     /// Write a log line for operators.
--- a/crates/model/src/run/between.rs
+++ b/crates/model/src/run/between.rs
@@ -70,6 +70,7 @@
                 self.soon(0, Event::Hear(node, epoch, input));
             }
             Output::Drop(_, id) => self.unbook(id),
+            Output::Forget(_) => {} // the model names no streamers
             Output::Rung(_, id, rung) => {
                 let Some(call) = self.calls.get_mut(&id) else { return };
                 let class = self.viewers[call.viewer].class;
--- a/src/net/hand.rs
+++ b/src/net/hand.rs
@@ -265,7 +265,7 @@
         };
         match self.names.check_ranges(&wanted).and_then(|()| self.names.request(&wanted)) {
             Ok(request) => {
-                let streamer = StreamerId(self.names.streamers.get(&record.streamer).unwrap_or(u32::MAX));
+                let streamer = StreamerId(self.names.streamers.intern(&record.streamer));
                 self.director.set_inherited_rungs(vec![(request.id, usize::from(record.rung))]);
                 self.shared.inputs.push(Input::Playing { link: NO_LINK, request, streamer });
             }
--- a/src/net/messages.rs
+++ b/src/net/messages.rs
@@ -84,7 +84,7 @@
         self.shared.inputs.push(match &set_up.playing_at {
             Some(at) => {
                 self.components.viewers.record_handed_over_session(link);
-                let streamer = StreamerId(self.names.streamers.get(at).unwrap_or(u32::MAX));
+                let streamer = StreamerId(self.names.streamers.intern(at)); // not listed yet, perhaps
                 Input::Playing { link, request, streamer }
             }
             None => {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -258,6 +258,7 @@
             }
             Output::Probe(streamer) => self.components.streamers.probe(shared, streamer),
             Output::Attend(streamer) => self.components.streamers.ensure_connected(shared, streamer),
+            Output::Forget(streamer) => self.names.streamers.remove(streamer.0),
             Output::Wake(at, due) => shared.deadlines.set(at, Deadline::Core(due)),
             Output::Log(words) => info!(shared.log, "{words}"),
         }
--- a/tests/replacement.rs
+++ b/tests/replacement.rs
@@ -132,3 +132,25 @@
     assert_eq!(read_teardown(&mut streamer), 0xc1);
     assert_eq!(new.metric("open_requests"), 1);
 }
+
+/// A session was handed over at a streamer of which discovery told a moment later: its viewer was told at once that
+/// it was over, and the streamer nothing. The same in a takeover, where sessions take the same way into the ledger.
+#[test]
+fn a_session_that_is_handed_over_before_discovery_tells_of_its_streamer_stands() {
+    let rig = Rig::with_admin();
+    let mut discovery = accept(&rig.discovery);
+    let late_streamer = bind_listener();
+    let mut platform = rig.viewer();
+    for id in [0xe1, 0xe2] {
+        platform.write_all(&handed_over_session(id, "s-2")).expect("written");
+    }
+    end_sessions(&mut platform, &[0xe1]); // no other message came before the answer to the test
+    let members = member("s-2", late_streamer.local_addr().expect("bound"), "in_service");
+    let event = format!("{{\"no\":2,\"roster\":{{\"members\":[{members}]}}}}\n");
+    discovery.write_all(event.as_bytes()).expect("written");
+    let mut streamer = accept(&late_streamer);
+    streamer.set_read_timeout(Some(TIMEOUT)).expect("set");
+    assert_eq!(read_teardown(&mut streamer), 0xe1, "ended while it waited");
+    end_sessions(&mut platform, &[0xe2]);
+    assert_eq!(read_teardown(&mut streamer), 0xe2, "stood");
+}
