A hand-over file that can't be loaded is warned of once

The new process looks for the file each 0.1 s in its first 15 s; one that can be neither read nor removed would have been a line in the log each time.

--- a/src/net/succession.rs
+++ b/src/net/succession.rs
@@ -48,7 +48,10 @@
                 self.shared.inputs.push(Input::Inherited(handover));
                 self.components.viewers.send_inherited_releases(&mut self.shared, unsent_ends);
             }
-            Err(why) => warn!(self.shared.log, "what the previous process left can't be loaded: {why}"),
+            Err(why) => {
+                warn!(self.shared.log, "what the previous process left can't be loaded: {why}");
+                self.estate_poll_ends_at = self.shared.now;
+            }
         }
     }
 
