A late second answer is not taken for the answer to the next attempt at the same streamer

Cause: an answer names its session, not its attempt, so a further attempt at a streamer has to go on another connection. connection_for avoided those on which an earlier attempt was open or cancelled, not those on which one had been answered.

Fix: a connection remembers the last 256 sessions whose set-ups were rejected, released before they stood, or answered after their cancellation (has_carried). The second answer then belongs to no attempt.

The test failed before (the second rejection ended the attempt that was out) and passes.

--- a/src/net/streamers/connection.rs
+++ b/src/net/streamers/connection.rs
@@ -8,6 +8,9 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
 
+/// Number of sessions remembered in [`StreamerConnection::rejected`]. Second answers come within milliseconds.
+const MAX_REJECTED_SET_UPS: usize = 256;
+
 /// A message that waits to be written.
 pub enum QueuedMessage {
     SetUp {
@@ -43,6 +46,9 @@
     pub open_attempts: BTreeMap<RequestId, (u32, bool)>,
     /// Sessions whose set-ups were cancelled and that have not been answered since.
     pub cancelled: BTreeSet<RequestId>,
+    /// Sessions whose set-ups were answered or released without having been established, the latest last. A second
+    /// answer to one of them could not be told from the answer to a further attempt on this connection.
+    pub rejected: VecDeque<RequestId>,
     /// Load probes without an answer yet.
     pub probes: BTreeSet<RequestId>,
     /// Whether a set-up was ever queued on it.
@@ -77,6 +83,7 @@
             }
             FromStreamer::Rejected(session, outcome, report) => {
                 let number = self.take_open_attempt(session);
+                self.record_rejected(session);
                 Input::TurnedAway { streamer, session, number, outcome, report }
             }
             FromStreamer::Released(session, cause, description, report) => {
@@ -86,6 +93,9 @@
                     _ => SessionEnd::Cut,
                 };
                 let number = self.open_attempts.remove(&session).map(|(number, _)| number);
+                if number.is_some() {
+                    self.record_rejected(session);
+                }
                 Input::Released { streamer, session, number, why, description, report }
             }
             FromStreamer::ProbeAnswered(id, succeeded, report) => {
@@ -107,10 +117,27 @@
         shared.inputs.push(input);
     }
 
+    fn record_rejected(&mut self, session: RequestId) {
+        if self.rejected.len() >= MAX_REJECTED_SET_UPS {
+            self.rejected.pop_front();
+        }
+        self.rejected.push_back(session);
+    }
+
+    /// Returns whether a set-up of this session was sent on it before, so that a late answer to that one could
+    /// be taken for the answer to a further one.
+    pub fn has_carried(&self, session: RequestId) -> bool {
+        self.open_attempts.contains_key(&session)
+            || self.cancelled.contains(&session)
+            || self.rejected.contains(&session)
+    }
+
     /// Closes the open attempt that an answer on this connection belongs to, and returns its number; `None`
     /// if the attempt was cancelled.
     pub fn take_open_attempt(&mut self, session: RequestId) -> Option<u32> {
-        self.cancelled.remove(&session);
+        if self.cancelled.remove(&session) {
+            self.record_rejected(session);
+        }
         self.open_attempts.remove(&session).map(|(number, _)| number)
     }
 }
--- a/src/net/streamers/pool.rs
+++ b/src/net/streamers/pool.rs
@@ -31,8 +31,7 @@
             let recently_used =
                 c.last_used_at.saturating_add(self.transport.connection_reuse_us()) > shared.now;
             let streamer_alive = trusted || c.last_received_at.saturating_add(RECENT_INPUT_US) > shared.now;
-            let session_unknown =
-                session.is_none_or(|s| !c.cancelled.contains(&s) && !c.open_attempts.contains_key(&s));
+            let session_unknown = session.is_none_or(|s| !c.has_carried(s));
             let has_capacity = c.open_attempts.len() < self.transport.set_ups_per_connection
                 && c.queue.len() < MAX_QUEUED_MESSAGES
                 && c.cancelled.len() < MAX_CANCELLED_SET_UPS;
@@ -97,6 +96,7 @@
             writing: None,
             open_attempts: BTreeMap::new(),
             cancelled: BTreeSet::new(),
+            rejected: VecDeque::new(),
             probes: BTreeSet::new(),
             carried_set_up: false,
             last_used_at: shared.now,
--- a/tests/repeats.rs
+++ b/tests/repeats.rs
@@ -84,7 +84,10 @@
     for cut in 0..answer.len() {
         let rig = Rig::start();
         let mut viewer = rig.viewer();
-        viewer.write_all(&set_up(0x61, "replay")).expect("written");
+        let figures = b"home:0;copies:1;top:3;viewer:00000000b4d65521";
+        let parameters: [(u8, &[u8]); 5] =
+            [(16, b"replay"), (19, b"20000"), (28, b"7f3a"), (31, figures), (61, b"offer")];
+        viewer.write_all(&message(1, 0x61, &parameters)).expect("written");
         let mut streamer = rig.streamer();
         read_rtsp(&mut streamer);
         streamer.write_all(&answer[..cut]).expect("written");
@@ -174,3 +177,24 @@
     streamer.write_all(&established_response(0x65, "answer")).expect("written");
     assert_eq!(read_message(&mut viewer).0, 9);
 }
+
+/// A streamer's second rejection came a moment late, after the next attempt of the same session had been sent on the
+/// same connection: it was taken for the answer to that one, and a paid session was set up twice.
+#[test]
+fn a_late_second_rejection_does_not_end_the_next_attempt_at_the_same_streamer() {
+    let rig = Rig::with_admin();
+    let mut viewer = rig.viewer();
+    viewer.write_all(&set_up(0x61, "replay")).expect("written");
+    let mut first = rig.streamer();
+    assert!(read_rtsp(&mut first).starts_with("SETUP"));
+    first.write_all(&rejection(454, 0x61)).expect("written"); // it never left, and may be sent again
+    wait_until("the set-up is sent again", || rig.metric("sent_again") == 1);
+    let (sent, strays) = (rig.metric("sent"), rig.metric("strays"));
+    first.write_all(&rejection(454, 0x61)).expect("written");
+    wait_until("the second rejection is ignored", || rig.metric("strays") == strays + 1);
+    assert_eq!(rig.metric("sent"), sent, "no further attempt while this one is out");
+    let mut second = rig.streamer();
+    assert!(read_rtsp(&mut second).starts_with("SETUP"), "on another connection");
+    second.write_all(&established_response(0x61, "answer")).expect("written");
+    assert_eq!(read_message(&mut viewer).0, 9);
+}
