Discovery that is slow with its first line on a connection is heard

Fix: a connection that times out without any line doubles the time for the first line of the next, up to 4.5 s; a line resets it. With the longest delay before a reconnection, 1 s, this stays below the 6 s within which a change has to be heard once discovery can be reached. A watch that falls silent is still given up after 1.8 s, and so is the first new one.

The test (first line after 2.5 s) never heard the drain before, and hears it on the second connection. Slower than 4.5 s is still not heard.

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -15,6 +15,9 @@
 
 /// Time without a line after which a connection counts as broken; discovery sends a heartbeat every second.
 const HEARTBEAT_TIMEOUT_US: Micros = 1_800_000;
+/// Upper bound of the time for the first line on a new connection. Together with the longest delay before a
+/// reconnection it stays below the 6 s within which a change has to be heard once discovery can be reached.
+const MAX_FIRST_LINE_TIMEOUT_US: Micros = 4_500_000;
 /// Time within which a connection must be established.
 const CONNECT_TIMEOUT_US: Micros = 500_000;
 /// Delay before the first reconnection; it doubles with each further failure.
@@ -39,6 +42,11 @@
     connection: Option<Connection>,
     connected: bool,
     last_event: u64,
+    /// Time for the first line on a new connection. It doubles with each connection that times out without one,
+    /// so that a slow service is heard.
+    first_line_timeout: Micros,
+    /// Whether a line was received on the connection.
+    heard: bool,
     /// With a connection: when it times out. Without one: when to reconnect.
     deadline: Micros,
     reconnect_delay: Micros,
@@ -53,6 +61,8 @@
             connection: None,
             connected: false,
             last_event,
+            first_line_timeout: HEARTBEAT_TIMEOUT_US,
+            heard: false,
             deadline: 0,
             reconnect_delay: MIN_RECONNECT_DELAY_US,
         }
@@ -75,6 +85,9 @@
             return; // something was received in the meantime
         }
         if self.connection.is_some() {
+            if self.connected && !self.heard {
+                self.first_line_timeout = (self.first_line_timeout * 2).min(MAX_FIRST_LINE_TIMEOUT_US);
+            }
             return self.connection_failed(shared, "timed out");
         }
         match Connection::connect(&mut shared.poll, self.address) {
@@ -108,9 +121,9 @@
                 self.connection_failed(shared, &error.to_string());
                 return Vec::new();
             }
-            self.connected = true;
+            (self.connected, self.heard) = (true, false);
             connection.queue(&discovery::encode_request_after(self.last_event));
-            self.set_deadline(shared, HEARTBEAT_TIMEOUT_US);
+            self.set_deadline(shared, self.first_line_timeout);
         }
         let Some(connection) = self.connection.as_mut() else { return Vec::new() };
         if writable && let Err(error) = connection.write() {
@@ -123,6 +136,7 @@
         let read_result = connection.read();
         let (lines, oversized) = connection.take_messages(split_line);
         if !lines.is_empty() {
+            (self.heard, self.first_line_timeout) = (true, HEARTBEAT_TIMEOUT_US);
             self.set_deadline(shared, HEARTBEAT_TIMEOUT_US);
         }
         let mut events = Vec::new();
--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -6,6 +6,7 @@
 use rig::*;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// Accepts the director's next connection and reads its request.
@@ -118,6 +119,23 @@
     assert_eq!(accept_request(&rig.discovery).1, "after 1");
 }
 
+/// A source that said its first line later than the time allowed between lines was given up each time, and never
+/// heard: the director went on sending to a streamer that drained.
+#[test]
+fn a_source_whose_first_line_is_slow_is_heard() {
+    let rig = Rig::with_admin();
+    let event = event_line(&rig, 2, false, "terminating");
+    let discovery = Arc::clone(&rig.discovery);
+    std::thread::spawn(move || {
+        loop {
+            let (mut stream, _) = accept_request(&discovery);
+            std::thread::sleep(Duration::from_millis(2_500));
+            let _ = stream.write_all(event.as_bytes()); // given up, perhaps
+        }
+    });
+    wait_until("the drain is heard", || rig.metric("out_of_rotation") == 1);
+}
+
 /// SIGHUP changes the source's address while the old source is in the middle of an event: nothing more from
 /// the old source is applied, and no event is lost.
 #[test]
