Ends that the previous process leaves apply to sessions that wait for their streamer, too

What callers would see: the previous process's last file comes after a session was handed over at a streamer that is not listed yet; its end was kept for a hand-over that had been already, and the session stood on.

The new test of tests/handovers.rs failed without the change (two sessions open in place of none) and passes; one of tests/early_ends.rs covers what a viewer's end and a release of the previous process apply to.

--- a/crates/core/src/director/ledger/succession.rs
+++ b/crates/core/src/director/ledger/succession.rs
@@ -28,10 +28,20 @@
             match self.sessions.get(&id).map(|s| s.state) {
                 Some(SessionState::Established { .. }) => self.handle_viewer_left(now, NO_LINK, id, out),
                 Some(_) => {}
-                None => out.end_kept(self.early_ends.keep_inherited_end(now, id)),
+                None => self.inherit_end(now, id, out),
             }
         }
-        for id in handover.released.into_iter().filter(|id| !self.sessions.contains_key(id)) {
+        for id in handover.released {
+            if !self.sessions.contains_key(&id) {
+                self.inherit_end(now, id, out);
+            }
+        }
+    }
+
+    /// Applies the end of a session that the previous process held to the session that waits for its streamer, or
+    /// keeps it for the hand-over.
+    fn inherit_end(&mut self, now: Micros, id: RequestId, out: &mut Outbox) {
+        if !self.end_waiting_session(now, id, out) {
             out.end_kept(self.early_ends.keep_inherited_end(now, id));
         }
     }
--- a/tests/early_ends.rs
+++ b/tests/early_ends.rs
@@ -75,6 +75,29 @@
     assert_eq!(outputs, [Output::Drop(streamer, RequestId(1))], "its own end counts");
 }
 
+/// What the previous process leaves: a viewer's end applies to a session that is held, and its own releases only to
+/// those that are handed over, since a held one was set up anew under the same id.
+#[test]
+fn ends_that_the_previous_process_leaves_apply_to_the_sessions_that_they_are_meant_for() {
+    let (mut director, now) = ready_director();
+    let mut streamers = Vec::new();
+    for id in 1..=2 {
+        let (streamer, attempt, _) =
+            find_set_up(&run_turn(&mut director, now, session_request(id, 0))).expect("a set-up");
+        run_turn(&mut director, now, established(streamer, attempt, Some(0)));
+        streamers.push(streamer);
+    }
+    let (ended, released) = ([1, 3].map(RequestId).to_vec(), [2, 4].map(RequestId).to_vec());
+    let left = Handover { rungs: vec![(RequestId(5), 2)], ended, released };
+    let outputs = run_turn(&mut director, now, Input::Inherited(left));
+    assert_eq!(outputs, [Output::Drop(streamers[0], RequestId(1))]);
+    for id in [3, 4] {
+        assert_eq!(run_turn(&mut director, now, handed_over(id)), [Output::Drop(STREAMER, RequestId(id))]);
+    }
+    assert!(run_turn(&mut director, now, handed_over(5)).is_empty());
+    assert_eq!(director.handover(now).rungs.len(), 2, "2 and 5 stand");
+}
+
 /// Ends of nothing are dropped after the time of a replacement.
 #[test]
 fn ends_are_kept_for_a_limited_time() {
--- a/tests/handovers.rs
+++ b/tests/handovers.rs
@@ -79,6 +79,18 @@
     assert_eq!(outputs, [Output::Drop(LATE, RequestId(1)), Output::Drop(LATE, RequestId(2))]);
 }
 
+/// The previous process says that it has ended the session, or that its viewer has, after the hand-over.
+#[test]
+fn a_waiting_session_that_the_previous_process_has_ended_is_ended_at_its_streamer() {
+    let (mut director, now) = ready_director();
+    (1..=2).for_each(|id| drop(run_turn(&mut director, now, handed_over(id))));
+    let (ended, released) = (vec![RequestId(1)], vec![RequestId(2)]);
+    run_turn(&mut director, now, Input::Inherited(Handover { ended, released, ..Handover::default() }));
+    assert_eq!(director.open_requests(), 0);
+    let outputs = run_turn(&mut director, now + S, listed(Standing::Up));
+    assert_eq!(outputs, [Output::Drop(LATE, RequestId(1)), Output::Drop(LATE, RequestId(2))]);
+}
+
 /// Discovery does not tell of the streamer in time: the viewer is told that the session is over, within 8 s of the
 /// hand-over, and the streamer as soon as it is known.
 #[test]
