--- a/crates/core/src/director/ledger/early_ends.rs
+++ b/crates/core/src/director/ledger/early_ends.rs
@@ -1,11 +1,11 @@
 //! Ends of sessions that this director does not know yet.
 //!
-//! While one process of a director replaces another, or a session is taken over, its end may come here before
-//! the session does: its viewer or its streamer can't tell which of the two holds it. An end is kept until the
-//! session is handed over, for the longest time that a replacement takes.
+//! While one process of a director replaces another, or a session is taken over, its end may come here
+//! before the session does: its viewer or its streamer can't tell which of the two holds it. An end is kept
+//! until the session is handed over, for the longest time that a replacement takes.
 //!
-//! The number of ends is bounded. When too many are kept, the oldest one of the sender that has sent most of them
-//! is dropped, so that nobody can push out what others have sent.
+//! The number of ends is bounded. When too many are kept, the oldest one of the sender that has sent most
+//! of them is dropped, so that nobody can push out what others have sent.
 use super::super::messages::{SessionEnd, ViewerLink};
 use super::outbox::MAX_RECENT_RELEASES;
 use crate::interface::*;
--- a/crates/core/src/director/ledger/handovers.rs
+++ b/crates/core/src/director/ledger/handovers.rs
@@ -1,15 +1,16 @@
 //! Sessions that already play when this director gets them: handed over by the platform, or taken over from
 //! another director.
 //!
-//! Their streamer may be one that discovery has not told of yet. Such a session waits until it has, for a limited
-//! time; what ends meanwhile is ended at the streamer as soon as that is known.
+//! Their streamer may be one that discovery has not told of yet. Such a session waits until it has, for a
+//! limited time; what ends meanwhile is ended at the streamer as soon as that is known.
 use super::super::messages::*;
 use super::{Ledger, Outbox, Session, SessionState};
 use crate::interface::*;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
-/// Time for discovery to tell of the streamer of a session, before the viewer is told that the session is over.
+/// Time for discovery to tell of the streamer of a session, before the viewer is told that the session is
+/// over.
 const STREAMER_WAIT_US: Micros = 6_000_000;
 /// Time for which a session that is over is kept, to end it at its streamer.
 const ENDED_RETENTION_US: Micros = 60_000_000;
--- a/crates/core/src/director/ledger/succession.rs
+++ b/crates/core/src/director/ledger/succession.rs
@@ -19,9 +19,9 @@
         self.inherited_rungs.extend(rungs);
     }
 
-    /// Loads what the previous process has left. Its rungs apply once their sessions are handed over, and so do
-    /// the ends. Of the sessions held already, those end that viewers have ended at the previous process. Those
-    /// that it released itself do not: they were set up anew here.
+    /// Loads what the previous process has left. Its rungs apply once their sessions are handed over, and
+    /// so do the ends. Of the sessions held already, those end that viewers have ended at the previous
+    /// process. Those that it released itself do not: they were set up anew here.
     pub(in crate::director) fn inherit(&mut self, now: Micros, handover: Handover, out: &mut Outbox) {
         self.restore_rungs(handover.rungs);
         for id in handover.ended {
@@ -38,8 +38,8 @@
         }
     }
 
-    /// Applies the end of a session that the previous process held to the session that waits for its streamer, or
-    /// keeps it for the hand-over.
+    /// Applies the end of a session that the previous process held to the session that waits for its
+    /// streamer, or keeps it for the hand-over.
     fn inherit_end(&mut self, now: Micros, id: RequestId, out: &mut Outbox) {
         if !self.end_waiting_session(now, id, out) {
             out.end_kept(self.early_ends.keep_inherited_end(now, id));
--- a/crates/core/src/director/messages.rs
+++ b/crates/core/src/director/messages.rs
@@ -75,7 +75,8 @@
     Attempt(Attempt),
     /// The time limit for the viewer's final answer has passed.
     Answer(RequestId),
-    /// The wait for the streamer of a session that was handed over, or the time for which it is kept, is over.
+    /// The wait for the streamer of a session that was handed over, or the time for which it is kept, is
+    /// over.
     Handover(RequestId),
 }
 
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -42,8 +42,8 @@
     connection: Option<Connection>,
     connected: bool,
     last_event: u64,
-    /// Time for the first line on a new connection. It doubles with each connection that times out without one,
-    /// so that a slow service is heard.
+    /// Time for the first line on a new connection. It doubles with each connection that times out without
+    /// one, so that a slow service is heard.
     first_line_timeout: Micros,
     /// Whether a line was received on the connection.
     heard: bool,
--- a/src/net/estate.rs
+++ b/src/net/estate.rs
@@ -1,6 +1,6 @@
 //! The hand-over file between two processes of a director, in a shared folder: the rungs of the established
-//! sessions, and ends of sessions that only one of the two knows. This module owns the file; whether there is a
-//! successor, and what becomes of the contents, is decided elsewhere.
+//! sessions, and ends of sessions that only one of the two knows. This module owns the file; whether there
+//! is a successor, and what becomes of the contents, is decided elsewhere.
 //!
 //! A file is complete or absent: it is written under a temporary name and renamed. It is read once, and
 //! removed.
--- a/src/net/streamers/connection.rs
+++ b/src/net/streamers/connection.rs
@@ -8,7 +8,8 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
 
-/// Number of sessions remembered in [`StreamerConnection::rejected`]. Second answers come within milliseconds.
+/// Number of sessions remembered in [`StreamerConnection::rejected`]. Second answers come within
+/// milliseconds.
 const MAX_REJECTED_SET_UPS: usize = 256;
 
 /// A message that waits to be written.
@@ -46,8 +47,9 @@
     pub open_attempts: BTreeMap<RequestId, (u32, bool)>,
     /// Sessions whose set-ups were cancelled and that have not been answered since.
     pub cancelled: BTreeSet<RequestId>,
-    /// Sessions whose set-ups were answered or released without having been established, the latest last. A second
-    /// answer to one of them could not be told from the answer to a further attempt on this connection.
+    /// Sessions whose set-ups were answered or released without having been established, the latest last. A
+    /// second answer to one of them could not be told from the answer to a further attempt on this
+    /// connection.
     pub rejected: VecDeque<RequestId>,
     /// Load probes without an answer yet.
     pub probes: BTreeSet<RequestId>,
@@ -124,8 +126,8 @@
         self.rejected.push_back(session);
     }
 
-    /// Returns whether a set-up of this session was sent on it before, so that a late answer to that one could
-    /// be taken for the answer to a further one.
+    /// Returns whether a set-up of this session was sent on it before, so that a late answer to that one
+    /// could be taken for the answer to a further one.
     pub fn has_carried(&self, session: RequestId) -> bool {
         self.open_attempts.contains_key(&session)
             || self.cancelled.contains(&session)
--- a/src/net/succession.rs
+++ b/src/net/succession.rs
@@ -1,9 +1,9 @@
-//! The replacement of one process of a director by another, on the side of either: writes and reads the hand-over
-//! file.
+//! The replacement of one process of a director by another, on the side of either: writes and reads the
+//! hand-over file.
 //!
-//! The platform hands sessions over only after the previous process has gone. Ends that only that process knows may
-//! concern sessions of this one, so this process looks for the file from its start on, for as long as a replacement
-//! may take.
+//! The platform hands sessions over only after the previous process has gone. Ends that only that process
+//! knows may concern sessions of this one, so this process looks for the file from its start on, for as
+//! long as a replacement may take.
 use super::Node;
 use super::estate::{self, Estate};
 use super::shared::Deadline;
@@ -34,8 +34,8 @@
         }
     }
 
-    /// Loads what the previous process has left, if it is there: before the first of its sessions is handed over,
-    /// or as soon as it has gone. A process that is stopping leaves the file to its own successor.
+    /// Loads what the previous process has left, if it is there: before the first of its sessions is handed
+    /// over, or as soon as it has gone. A process that is stopping leaves the file to its own successor.
     pub(super) fn load_estate(&mut self) {
         let checked_in_this_turn = self.estate_checked_at.replace(self.shared.now) == Some(self.shared.now);
         let Some(file) = &self.handover_file else { return };
--- a/src/net/viewers/closing.rs
+++ b/src/net/viewers/closing.rs
@@ -4,9 +4,9 @@
 //! inputs of a turn. Every decision to close therefore asks [`Viewers::is_in_use`], which counts them.
 //!
 //! A connection is shut down for writing once all requests received on it are answered and the answers
-//! written. Until the client closes its side, requests that it still sends are discarded, and messages that want
-//! no answer, such as the end of a session, are processed. Closing a socket with unread data
-//! would reset the connection, and a reset discards data that the client has not read yet.
+//! written. Until the client closes its side, requests that it still sends are discarded, and messages that
+//! want no answer, such as the end of a session, are processed. Closing a socket with unread data would
+//! reset the connection, and a reset discards data that the client has not read yet.
 use super::Viewers;
 use super::connection::{CloseReason, ConnectionState, ViewerConnection, WRITE_TIMEOUT_US};
 use crate::director::{Director, ViewerLink};
--- a/src/net/viewers/connection.rs
+++ b/src/net/viewers/connection.rs
@@ -166,8 +166,9 @@
         }
     }
 
-    /// Returns whether the connection is to be closed, provided that it is not in use: its client has sent no first message in time, does not continue a partial message, or has sent no message for
-    /// long and has no session.
+    /// Returns whether the connection is to be closed, provided that it is not in use: its client has sent
+    /// no first message in time, does not continue a partial message, or has sent no message for long and
+    /// has no session.
     pub fn is_overdue(&self, now: Micros, sessions: usize) -> bool {
         let elapsed = |since: Micros, timeout: Micros| since.saturating_add(timeout) <= now;
         if self.has_unwritten(now, WRITE_TIMEOUT_US) {
