A connection with too many unusable set-ups is closed also beside load

Cause: had let connections closed for unusable set-ups be read at each turn's end, as at shutdown, for up to 1.5 s. On a busy machine the client's next message was there each time, which kept the connection in use.

Fix: that part is taken back: only connections at shutdown are read on. The other closes are as they were: they read once and ask again.

--- a/src/net/viewers/closing.rs
+++ b/src/net/viewers/closing.rs
@@ -21,7 +21,7 @@
 const PEER_CLOSE_TIMEOUT_US: Micros = 500_000;
 /// Time for a partly received message to be completed on a connection that is to be closed.
 const PARTIAL_MESSAGE_WAIT_US: Micros = 60_000;
-/// Time during which messages that keep arriving on a connection that is to be closed are still answered.
+/// Time during which messages that keep arriving on a connection at shutdown are still answered.
 const SHUTDOWN_READ_LIMIT_US: Micros = 1_500_000;
 
 impl Viewers {
@@ -119,7 +119,7 @@
             };
             let within = |timeout: Micros| since.saturating_add(timeout) > shared.now;
             let may_await_partial = connection.accepts_messages() && within(PARTIAL_MESSAGE_WAIT_US);
-            let keeps_reading = connection.accepts_messages() && within(SHUTDOWN_READ_LIMIT_US);
+            let keeps_reading = reason == CloseReason::End && within(SHUTDOWN_READ_LIMIT_US);
             if self.is_in_use(director, token)
                 || connection.has_unwritten(shared.now, WRITE_TIMEOUT_US)
                 || may_await_partial && connection.socket.has_partial_message()
