--- a/tests/repeats.rs
+++ b/tests/repeats.rs
@@ -84,10 +84,7 @@
     for cut in 0..answer.len() {
         let rig = Rig::start();
         let mut viewer = rig.viewer();
-        let figures = b"home:0;copies:1;top:3;viewer:00000000b4d65521";
-        let parameters: [(u8, &[u8]); 5] =
-            [(16, b"replay"), (19, b"20000"), (28, b"7f3a"), (31, figures), (61, b"offer")];
-        viewer.write_all(&message(1, 0x61, &parameters)).expect("written");
+        viewer.write_all(&set_up(0x61, "replay")).expect("written");
         let mut streamer = rig.streamer();
         read_rtsp(&mut streamer);
         streamer.write_all(&answer[..cut]).expect("written");
