--- /dev/null
+++ b/review/rig-2/main.rs
@@ -0,0 +1,43 @@
+//! The stand-ins and checks of the cases 6 to 10: `rig-2 NAME FOLDER`. Writes `record.txt` to the folder. Exits
+//! with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run. `TROUBLE=0` leaves the disruption
+//! out.
+mod base;
+mod empty_lines;
+mod lame_duck;
+mod length_line;
+mod streamer;
+mod upgrade;
+mod viewer;
+
+use base::{Record, Verdict};
+use std::path::Path;
+use std::process::exit;
+
+fn main() {
+    let arguments: Vec<String> = std::env::args().collect();
+    let [_, name, folder] = arguments.as_slice() else {
+        eprintln!("usage: rig-2 NAME FOLDER");
+        exit(2);
+    };
+    let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let Ok(record) = Record::create(Path::new(folder)) else {
+        eprintln!("record.txt can't be written");
+        exit(2);
+    };
+    record.say(format!("case {name}, trouble {trouble}"));
+    let verdict = match name.as_str() {
+        "lame-duck" => lame_duck::run(trouble, &record),
+        "length-line" => length_line::run(trouble, &record),
+        "upgrade" => upgrade::run(trouble, &record),
+        "empty-lines" => empty_lines::run(trouble, &record),
+        _ => Verdict::CouldNotRun("there is no such case".into()),
+    };
+    let (code, line) = match verdict {
+        Verdict::Held(why) => (0, format!("HELD: {why}")),
+        Verdict::Broken(why) => (1, format!("BROKEN: {why}")),
+        Verdict::CouldNotRun(why) => (2, format!("COULD NOT RUN: {why}")),
+    };
+    record.say(&line);
+    println!("{line}");
+    exit(code);
+}
