--- a/review/rig-2/main.rs
+++ b/review/rig-2/main.rs
@@ -1,10 +1,11 @@
-//! The stand-ins and checks of the cases 6 to 10: `rig-2 NAME FOLDER`. Writes `record.txt` to the folder. Exits
+//! The stand-ins and checks of the cases 6 to 10: `rig-2 NAME FOLDER [HISTORY]`. Writes `record.txt` to the folder. Exits
 //! with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run. `TROUBLE=0` leaves the disruption
 //! out.
 mod base;
 mod empty_lines;
 mod lame_duck;
 mod length_line;
+mod paid_once;
 mod streamer;
 mod upgrade;
 mod viewer;
@@ -15,8 +16,8 @@
 
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
-    let [_, name, folder] = arguments.as_slice() else {
-        eprintln!("usage: rig-2 NAME FOLDER");
+    let [_, name, folder, rest @ ..] = arguments.as_slice() else {
+        eprintln!("usage: rig-2 NAME FOLDER [HISTORY]");
         exit(2);
     };
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
@@ -28,6 +29,7 @@
     let verdict = match name.as_str() {
         "lame-duck" => lame_duck::run(trouble, &record),
         "length-line" => length_line::run(trouble, &record),
+        "paid-once" => paid_once::run(rest.first().map_or("", |file| file), &record),
         "upgrade" => upgrade::run(trouble, &record),
         "empty-lines" => empty_lines::run(trouble, &record),
         _ => Verdict::CouldNotRun("there is no such case".into()),
