--- a/review/rig-2/main.rs
+++ b/review/rig-2/main.rs
@@ -4,6 +4,7 @@
 mod base;
 mod empty_lines;
 mod lame_duck;
+mod late_dial;
 mod length_line;
 mod paid_once;
 mod streamer;
@@ -28,6 +29,7 @@
     record.say(format!("case {name}, trouble {trouble}"));
     let verdict = match name.as_str() {
         "lame-duck" => lame_duck::run(trouble, &record),
+        "late-dial" => late_dial::run(trouble, &record),
         "length-line" => length_line::run(trouble, &record),
         "paid-once" => paid_once::run(rest.first().map_or("", |file| file), &record),
         "upgrade" => upgrade::run(trouble, &record),
--- a/review/rig-2/streamer.rs
+++ b/review/rig-2/streamer.rs
@@ -1,9 +1,11 @@
 //! A stand-in streamer that follows the protocol page. What it answers may be spoilt on its way by a `Spoiler`,
 //! which stands for the network between it and the director.
 use crate::base::Record;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::os::fd::AsRawFd;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -16,6 +18,8 @@
     Spoilt(Vec<u8>),
     /// They arrive so much later.
     Late(Duration),
+    /// The streamer is full (453).
+    Full,
     /// Empty lines arrive in their place, and keep coming for so long.
     EmptyLines(Duration),
 }
@@ -35,7 +39,7 @@
 
 /// A connection from the director.
 struct Link {
-    stream: TcpStream,
+    stream: Option<TcpStream>,
     open: bool,
     /// Nothing reaches the director on it any more.
     useless: bool,
@@ -44,8 +48,8 @@
 impl Link {
     /// Writes a message to the director; one on a useless connection is lost on the way.
     fn write(&mut self, bytes: &[u8]) {
-        if self.open && !self.useless {
-            let _ = self.stream.write_all(bytes);
+        if let Some(stream) = self.stream.as_mut().filter(|_| self.open && !self.useless) {
+            let _ = stream.write_all(bytes);
         }
     }
 }
@@ -66,6 +70,10 @@
     sessions: BTreeMap<u64, Session>,
     /// Releases that are repeated on the next connection that is opened.
     repeat: Vec<Vec<u8>>,
+    /// Ports of this stand-in's own connections, which fill the queue.
+    own: BTreeSet<u16>,
+    /// The network resets this link as the streamer writes its next release on it.
+    reset: Option<usize>,
 }
 
 /// A streamer.
@@ -74,6 +82,13 @@
     pub name: String,
     pub address: SocketAddr,
     state: Arc<Mutex<State>>,
+    /// New connections come up late while this is set.
+    late: Arc<AtomicBool>,
+}
+
+unsafe extern "C" {
+    fn listen(socket: i32, backlog: i32) -> i32;
+    fn setsockopt(socket: i32, level: i32, name: i32, value: *const Linger, length: u32) -> i32;
 }
 
 struct Message {
@@ -110,6 +125,20 @@
     Some(message)
 }
 
+#[repr(C)]
+struct Linger {
+    on: i32,
+    seconds: i32,
+}
+
+/// Has a connection reset by its last close.
+fn reset_at_close(stream: &TcpStream) {
+    let linger = Linger { on: 1, seconds: 0 };
+    // SAFETY: SOL_SOCKET (1) and SO_LINGER (13) take such a value, which lives long enough.
+    unsafe { setsockopt(stream.as_raw_fd(), 1, 13, &linger, 8) };
+    let _ = stream.shutdown(Shutdown::Read); // its reader ends, and closes its side of it
+}
+
 fn release(session: u64) -> Vec<u8> {
     format!(
         "TEARDOWN rtsp://media/session RTSP/1.0\r\nCSeq: 7\r\nSession: {session:016x}\r\nReason: cause=16\r\nContent-Length: 0\r\n\r\n"
@@ -122,10 +151,23 @@
     pub fn start(name: &str, habits: Habits, record: Record) -> Streamer {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("bound");
-        let streamer = Streamer { name: name.to_owned(), address, state: Arc::default() };
+        let streamer =
+            Streamer { name: name.to_owned(), address, state: Arc::default(), late: Arc::default() };
         let serving = streamer.clone();
+        // SAFETY: the descriptor is that of a listening socket. A queue of one, so that it can be full.
+        unsafe { listen(listener.as_raw_fd(), 0) };
+        listener.set_nonblocking(true).expect("set");
         thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
+            loop {
+                thread::sleep(Duration::from_millis(1));
+                if serving.late.load(Ordering::Acquire) {
+                    continue;
+                }
+                let Ok((stream, from)) = listener.accept() else { continue };
+                if serving.state.lock().unwrap().own.remove(&from.port()) {
+                    continue;
+                }
+                let _ = stream.set_nonblocking(false);
                 let (streamer, habits, record) = (serving.clone(), habits.clone(), record.clone());
                 let _ = stream.set_nodelay(true);
                 let link = streamer.add_link(&stream, &record);
@@ -138,7 +180,7 @@
     fn add_link(&self, stream: &TcpStream, record: &Record) -> usize {
         let mut state = self.state.lock().unwrap();
         let stream = stream.try_clone().expect("a clone");
-        let mut link = Link { stream, open: true, useless: false };
+        let mut link = Link { stream: Some(stream), open: true, useless: false };
         let number = state.links.len();
         record.say(format!("{} link {number} opened", self.name));
         for bytes in state.repeat.drain(..) {
@@ -181,7 +223,9 @@
         }
         let mut state = self.state.lock().unwrap();
         state.links[link].open = false;
-        let _ = state.links[link].stream.shutdown(Shutdown::Both);
+        if let Some(stream) = &state.links[link].stream {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
         // Set-ups that are open on it are given up; sessions that stand go on.
         for of in state.sessions.values_mut().filter(|s| s.link == link && !s.stands && s.ended.is_none()) {
             of.ended = Some(Instant::now());
@@ -227,13 +271,25 @@
                 record.say(format!("{} link {link} -> 200 {id:016x}, spoilt on its way: {shown}", self.name));
                 state.links[link].write(&bytes);
             }
+            Passage::Full => {
+                state.sessions.entry(id).and_modify(|s| (s.stands, s.ended) = (false, Some(Instant::now())));
+                record.say(format!("{} link {link} -> 453 {id:016x}", self.name));
+                let line = format!(
+                    "RTSP/1.0 453 Full\r\nCSeq: 1\r\nSession: {id:016x}\r\nContent-Length: 0\r\n\r\n"
+                );
+                state.links[link].write(line.as_bytes());
+                return false;
+            }
             Passage::EmptyLines(span) => {
                 record.say(format!(
                     "{} link {link} -> 200 {id:016x}, spoilt: empty lines that keep coming",
                     self.name
                 ));
                 state.links[link].useless = true;
-                let mut stream = state.links[link].stream.try_clone().expect("a clone");
+                let Some(mut stream) = state.links[link].stream.as_ref().and_then(|s| s.try_clone().ok())
+                else {
+                    return true;
+                };
                 let (name, record) = (self.name.clone(), record.clone());
                 thread::spawn(move || {
                     let (until, lines) = (Instant::now() + span, b"\r\n".repeat(16 * 1024));
@@ -269,11 +325,44 @@
         if let Some(link) = open {
             let lost = if state.links[link].useless { ", lost on its way" } else { "" };
             record.say(format!("{} link {link} -> release {id:016x}{lost}", self.name));
-            state.links[link].write(&bytes);
+            if state.reset.take_if(|due| *due == link).is_some() {
+                record
+                    .say(format!("{} link {link} is reset with it; new ones come up 0.9 s late", self.name));
+                self.late_for(Duration::from_millis(900), &mut state);
+                state.links[link].open = false;
+                state.links[link].stream.take().iter().for_each(reset_at_close);
+            } else {
+                state.links[link].write(&bytes);
+            }
         }
         state.repeat.push(bytes);
     }
 
+    /// From now on, for a time, new connections to it come up late: its queue is full.
+    fn late_for(&self, time: Duration, state: &mut State) {
+        self.late.store(true, Ordering::Release);
+        if let Ok(own) = TcpStream::connect(self.address) {
+            state.own.insert(own.local_addr().expect("bound").port());
+            let late = Arc::clone(&self.late);
+            thread::spawn(move || {
+                thread::sleep(time);
+                late.store(false, Ordering::Release);
+                drop(own);
+            });
+        }
+    }
+
+    /// Resets a link at the next release that the streamer writes on it.
+    pub fn reset_at_release(&self, link: usize) {
+        self.state.lock().unwrap().reset = Some(link);
+    }
+
+    /// The number of links that are open, and that were ever.
+    pub fn links(&self) -> (usize, usize) {
+        let state = self.state.lock().unwrap();
+        (state.links.iter().filter(|l| l.open).count(), state.links.len())
+    }
+
     /// The sessions that stand.
     pub fn standing(&self) -> Vec<u64> {
         let state = self.state.lock().unwrap();
