Review 2: a stand-in that fails or hangs ends a case with 2, and nothing is left

A panic left with 101, and a case that hung had no end. Now a panic is 2, and so is a case after 115 s; all processes that were started are killed first.

--- a/review/rig-2/base.rs
+++ b/review/rig-2/base.rs
@@ -50,6 +50,20 @@
     let _ = Command::new("/bin/sh").args(["-c", &format!("kill -{name} {pid}")]).status();
 }
 
+/// The processes that the case started and that have not been waited for.
+static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Kills what still runs of the processes that the case started.
+pub fn end_all() {
+    let started = STARTED.lock().map(|s| s.clone()).unwrap_or_default();
+    started.into_iter().for_each(|pid| signal(pid, "KILL"));
+}
+
+/// A process has ended and was waited for: its number may be another's by now.
+fn has_ended(pid: u32) {
+    STARTED.lock().unwrap().retain(|started| *started != pid);
+}
+
 /// The bulletin: tells that nothing changes after the events of `known`.
 pub fn start_bulletin(last: u64, record: Record) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
@@ -191,6 +205,7 @@
             }
         }
         let child = command.spawn().map_err(|e| e.to_string())?;
+        STARTED.lock().unwrap().push(child.id());
         record.say(format!("director started as process {}: {}", child.id(), self.run));
         let mut director = Director { child, address: self.address, admin };
         let deadline = Instant::now() + Duration::from_secs(30);
@@ -229,6 +244,7 @@
             record.say(format!("SIGKILL to process {}", self.child.id()));
             signal(self.child.id(), "KILL");
             let _ = self.child.wait();
+            has_ended(self.child.id());
         }
         record.say(format!("process {} has ended", self.child.id()));
     }
@@ -262,7 +278,11 @@
 
     /// Whether the process still runs.
     pub fn runs(&mut self) -> bool {
-        self.child.try_wait().is_ok_and(|ended| ended.is_none())
+        let runs = self.child.try_wait().is_ok_and(|ended| ended.is_none());
+        if !runs {
+            has_ended(self.child.id());
+        }
+        runs
     }
 }
 
@@ -271,6 +291,7 @@
         if self.runs() {
             signal(self.child.id(), "KILL");
             let _ = self.child.wait();
+            has_ended(self.child.id());
         }
     }
 }
--- a/review/rig-2/main.rs
+++ b/review/rig-2/main.rs
@@ -12,8 +12,13 @@
 mod viewer;
 
 use base::{Record, Verdict};
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::path::Path;
 use std::process::exit;
+use std::time::Duration;
+
+/// No case takes longer.
+const LONGEST: Duration = Duration::from_secs(115);
 
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
@@ -27,7 +32,15 @@
         exit(2);
     };
     record.say(format!("case {name}, trouble {trouble}"));
-    let verdict = match name.as_str() {
+    // A case that hangs has not run, and leaves nothing behind.
+    let late = record.clone();
+    std::thread::spawn(move || {
+        std::thread::sleep(LONGEST);
+        late.say("COULD NOT RUN: it took too long");
+        base::end_all();
+        exit(2);
+    });
+    let case = || match name.as_str() {
         "lame-duck" => lame_duck::run(trouble, &record),
         "late-dial" => late_dial::run(trouble, &record),
         "length-line" => length_line::run(trouble, &record),
@@ -36,6 +49,10 @@
         "empty-lines" => empty_lines::run(trouble, &record),
         _ => Verdict::CouldNotRun("there is no such case".into()),
     };
+    // Nor has one run whose stand-ins failed.
+    let verdict = catch_unwind(AssertUnwindSafe(case));
+    base::end_all();
+    let verdict = verdict.unwrap_or_else(|_| Verdict::CouldNotRun("a stand-in has failed".into()));
     let (code, line) = match verdict {
         Verdict::Held(why) => (0, format!("HELD: {why}")),
         Verdict::Broken(why) => (1, format!("BROKEN: {why}")),
