--- a/crates/core/src/director/counters.rs
+++ b/crates/core/src/director/counters.rs
@@ -139,6 +139,10 @@
     streamer_connections,
     /// Connections to streamers that could not be established.
     dials_failed,
+    /// Connections to streamers that ended with input that may not have been read.
+    inputs_lost,
+    /// Connections established to streamers after such a loss, on which streamers repeat releases.
+    inputs_recovered,
     /// Connections closed because of a malformed or oversized message.
     malformed,
     /// Connections closed because their peer did not read.
--- a/src/net/streamers/connection.rs
+++ b/src/net/streamers/connection.rs
@@ -2,6 +2,7 @@
 //! messages into inputs of the core.
 use super::super::connection::Connection;
 use super::super::shared::Shared;
+use super::input_loss::LossCount;
 use crate::director::{Attempt, Input, Parcel, SessionEnd};
 use crate::interface::{Micros, Outcome, RequestId, StreamerId};
 use crate::platform::rtsp::{self, FromStreamer};
@@ -59,9 +60,11 @@
     pub last_received_at: Micros,
     /// It received data that could not be parsed.
     pub input_unparseable: bool,
-    /// The streamer's last messages may be unread: because of a reset, or because they followed data that
-    /// could not be parsed.
-    pub input_may_be_lost: bool,
+    /// All that the streamer sent on it has been read: it ended in order after a whole message, or was idle.
+    /// Otherwise its last messages may be lost with the connection.
+    pub input_complete: bool,
+    /// Losses of the streamer's input before the connection was begun.
+    pub losses_at_begin: LossCount,
 }
 
 impl StreamerConnection {
--- a/src/net/streamers/io.rs
+++ b/src/net/streamers/io.rs
@@ -28,6 +28,10 @@
             shared.inputs.push(Input::Contact { streamer, up: true });
             if let Some(pool) = self.pools.get_mut(&streamer) {
                 (pool.last_received_at, pool.failing_since) = (shared.now, None);
+                if pool.input_loss.connection_established(connection.losses_at_begin) {
+                    shared.counters.inputs_recovered += 1;
+                    debug!(shared.log, "connection established after a loss of input"; "streamer" => streamer.0);
+                }
                 let control_messages =
                     pool.unsent_control.drain(..).map(|kept| QueuedMessage::Control(kept.1, kept.2));
                 control_messages.for_each(|message| connection.queue.push_back(message));
@@ -63,10 +67,6 @@
         let streamer = self.connections.get(&token).map(|c| c.streamer.0);
         debug!(shared.log, "write to streamer failed; closing the connection: {why}"; "streamer" => streamer);
         self.read(shared, token);
-        self.connections
-            .get_mut(&token)
-            .into_iter()
-            .for_each(|connection| connection.input_may_be_lost = true);
         self.close(shared, token);
     }
 
@@ -88,17 +88,19 @@
             let streamer = connection.streamer.0;
             warn!(shared.log, "malformed message from streamer; closing the connection: {why}";
                 "streamer" => streamer);
-            (connection.input_unparseable, connection.input_may_be_lost) = (true, true);
+            connection.input_unparseable = true;
             return self.close(shared, token);
         }
         match read_result {
             Ok(ReadOutcome::Open) => {}
-            Ok(ReadOutcome::Eof) => self.close(shared, token),
+            Ok(ReadOutcome::Eof) => {
+                connection.input_complete = !connection.socket.has_partial_message();
+                self.close(shared, token);
+            }
             Err(why) => {
                 let streamer = connection.streamer.0;
                 debug!(shared.log, "read from streamer failed; closing the connection: {why}";
                     "streamer" => streamer);
-                connection.input_may_be_lost = true;
                 self.close(shared, token);
             }
         }
@@ -178,7 +180,11 @@
         }
         let Some(pool) = self.pools.get_mut(&streamer) else { return };
         pool.connections.remove(&token);
-        pool.input_may_be_lost |= connection.input_may_be_lost;
+        if connection.connected && !connection.input_complete {
+            shared.counters.inputs_lost += 1;
+            debug!(shared.log, "input of a streamer may be lost with its connection"; "streamer" => streamer.0);
+            pool.input_loss.record(shared.now);
+        }
         // A message that was cut off was not processed, and sending a complete one twice does no harm.
         if let Some(MessageInProgress::Control(bytes, acting_on)) = connection.writing {
             pool.unsent_control.push_back((shared.now, bytes, acting_on));
--- a/src/net/streamers/mod.rs
+++ b/src/net/streamers/mod.rs
@@ -1,6 +1,7 @@
 //! Connections to streamers: a pool per listed streamer, the messages queued on its connections, and the
 //! detection of lost streamers as opposed to silent ones. The core decides which streamer receives what.
 mod connection;
+mod input_loss;
 mod io;
 mod pool;
 
@@ -12,6 +13,7 @@
 use crate::platform::rtsp;
 use crate::settings::TransportSettings;
 use connection::{MessageInProgress, QueuedMessage, StreamerConnection};
+use input_loss::InputLoss;
 use slog::info;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
@@ -53,9 +55,8 @@
     /// Start of the first failed connection attempt since the streamer was last heard from.
     failing_since: Option<Micros>,
     dial_refused: bool,
-    /// Since the last dial, a connection ended with input that may not have been read: a release may have
-    /// been lost with it.
-    input_may_be_lost: bool,
+    /// Connections that ended with input that may not have been read: a release may have been lost with it.
+    input_loss: InputLoss,
     next_dial_at: Micros,
 }
 
--- a/src/net/streamers/pool.rs
+++ b/src/net/streamers/pool.rs
@@ -71,7 +71,7 @@
         }
         let pool = self.pools.get_mut(&streamer).ok_or(UnsentReason::Withdrawn)?;
         pool.next_dial_at = shared.now.saturating_add(REDIAL_INTERVAL_US);
-        pool.input_may_be_lost = false;
+        let losses_at_begin = pool.input_loss.count();
         let socket = match Connection::connect(&mut shared.poll, pool.address.ok_or(UnsentReason::Withdrawn)?)
         {
             Ok(socket) => socket,
@@ -102,7 +102,8 @@
             last_used_at: shared.now,
             last_received_at: 0,
             input_unparseable: false,
-            input_may_be_lost: false,
+            input_complete: false,
+            losses_at_begin,
         };
         self.connections.insert(token, connection);
         shared.counters.streamer_connections += 1;
@@ -114,19 +115,15 @@
     /// connection.
     fn close_to_make_room(&mut self, shared: &mut Shared, token: Token) {
         self.read(shared, token);
-        self.connections
-            .get_mut(&token)
-            .into_iter()
-            .for_each(|connection| connection.input_may_be_lost = true);
         self.close(shared, token);
     }
 
     /// Closes an idle connection, unless a message has arrived on it meanwhile.
     fn close_unless_received(&mut self, shared: &mut Shared, token: Token) {
         self.read(shared, token);
-        let received_now =
-            self.connections.get(&token).is_some_and(|connection| connection.last_received_at >= shared.now);
-        if !received_now {
+        let Some(connection) = self.connections.get_mut(&token) else { return };
+        if connection.last_received_at < shared.now {
+            connection.input_complete = !connection.socket.has_partial_message();
             self.close(shared, token);
         }
     }
@@ -213,9 +210,15 @@
             let control_due = !pool.unsent_control.is_empty()
                 && pool.next_dial_at.saturating_add(CONTROL_REDIAL_DELAY_US) <= now;
             let needs_connection = pool.connections.is_empty() && (has_sessions || control_due);
-            // A streamer repeats releases on the next connection, and only there.
-            let input_lost = has_sessions && pool.input_may_be_lost;
+            let input_lost = has_sessions && pool.input_loss.retry_is_due(now);
+            if input_lost && pool.input_loss.report_overdue(now) {
+                warn!(shared.log, "a release may be lost: no new connection to the streamer can be established";
+                    "streamer" => streamer.0);
+            }
             if !dialing && (needs_connection || silent || input_lost) && pool.next_dial_at <= now {
+                if input_lost {
+                    pool.input_loss.retried(now);
+                }
                 let _ = self.dial(shared, streamer); // the next check retries
             }
         }
