Send releases again that a streamer may not have read, or that wait as a link ends

What callers saw: a session that its viewer had ended was left standing at its streamer where the connection with the release was reset before it was read, and, for up to a minute, where the release waited to be written as its connection ended while another one was open.

Cause: a release counted as done once it was written, whatever became of it, and what waited on a connection that ended went to `unsent_control`, which only the next new connection drains.

Fix: a connection remembers releases and rung changes that it wrote in the last 8 s and that were not acknowledged (256 at most; older ones count as read). When it ends, other than as idle, the ledger is told and decides: a release is repeated unless the session is being set up or plays at that streamer again, a rung only for a session that plays there. What waits passes to another open connection. Control messages are a type now in place of bytes; probes of an ended connection, which have been reported as failed, are no longer queued again. Messages dropped at the bound or by age are counted (control_dropped).

--- a/crates/core/src/director/counters.rs
+++ b/crates/core/src/director/counters.rs
@@ -143,6 +143,8 @@
     inputs_lost,
     /// Connections established to streamers after such a loss, on which streamers repeat releases.
     inputs_recovered,
+    /// Releases and rung changes dropped because too many waited for a connection, or for too long.
+    control_dropped,
     /// Connections closed because of a malformed or oversized message.
     malformed,
     /// Connections closed because their peer did not read.
--- a/crates/core/src/director/ledger/mod.rs
+++ b/crates/core/src/director/ledger/mod.rs
@@ -40,6 +40,18 @@
     Established { streamer: StreamerId, since: Micros },
 }
 
+impl SessionState {
+    /// The streamer at which the session is established or has an attempt that is not over.
+    fn streamer(self) -> Option<StreamerId> {
+        match self {
+            SessionState::Placing => None,
+            SessionState::InFlight { streamer, .. }
+            | SessionState::Canceling { streamer, .. }
+            | SessionState::Established { streamer, .. } => Some(streamer),
+        }
+    }
+}
+
 /// A request and its session, from arrival to end.
 #[derive(Debug)]
 struct Session {
@@ -253,6 +265,8 @@
                     self.handle_release(now, release, out);
                 }
             }
+            Input::ReleaseUnread(streamer, session) => self.repeat_release(streamer, session, out),
+            Input::RungUnread(streamer, session) => self.repeat_rung(streamer, session, out),
             Input::Contact { streamer, up } => {
                 out.events.push(Event::ConnectResult { streamer, connected: up })
             }
--- a/crates/core/src/director/ledger/streamers.rs
+++ b/crates/core/src/director/ledger/streamers.rs
@@ -295,6 +295,23 @@
         }
     }
 
+    /// Releases a session once more at a streamer that may not have read the release. If the session is being
+    /// set up there again, a release would end that.
+    pub(super) fn repeat_release(&mut self, streamer: StreamerId, id: RequestId, out: &mut Outbox) {
+        let current = self.sessions.get(&id).and_then(|session| session.state.streamer());
+        if current != Some(streamer) {
+            out.outputs.push(Output::Drop(streamer, id));
+        }
+    }
+
+    /// Sets the rung of an established session once more at a streamer that may not have read the change.
+    pub(super) fn repeat_rung(&mut self, streamer: StreamerId, id: RequestId, out: &mut Outbox) {
+        let Some(session) = self.sessions.get(&id) else { return };
+        if matches!(session.state, SessionState::Established { streamer: at, .. } if at == streamer) {
+            out.outputs.push(Output::Rung(streamer, id, session.rung));
+        }
+    }
+
     /// Removes a session from the ledger and reports its end to the controller.
     pub(super) fn remove_session(
         &mut self,
--- a/crates/core/src/director/messages.rs
+++ b/crates/core/src/director/messages.rs
@@ -171,6 +171,11 @@
     },
     /// What the previous process of this director has left.
     Inherited(Handover),
+    /// The release of this session was written to this streamer, which may not have read it: its connection
+    /// ended.
+    ReleaseUnread(StreamerId, RequestId),
+    /// The same with a rung change of this session.
+    RungUnread(StreamerId, RequestId),
     /// A streamer acknowledged the release of a session, which has ended there. The ledger does not change.
     DropHeard(RequestId),
     /// These sessions now belong to another director. The ledger removes them without ending the established
--- a/src/net/hand.rs
+++ b/src/net/hand.rs
@@ -5,9 +5,9 @@
 use super::clock::Clock;
 use super::peers::Peers;
 use super::shared::Shared;
+use super::streamers::ControlMessage;
 use crate::director::{Input, NO_LINK, SessionEnd};
 use crate::interface::{LoadReport, Micros, RequestId, StreamerId};
-use crate::platform::rtsp;
 use crate::settings::NamedRequest;
 use slog::{debug, info, warn};
 use std::cell::RefCell;
@@ -220,8 +220,8 @@
                 }
                 Action::EndAtStreamer(id, streamer) => {
                     if let Some(at) = self.names.streamers.get(&streamer).map(StreamerId) {
-                        let (id, message) = (RequestId(id), rtsp::release(RequestId(id)));
-                        self.components.streamers.send_control(&mut self.shared, at, message, Some(id));
+                        let message = ControlMessage::Release(RequestId(id));
+                        self.components.streamers.send_control(&mut self.shared, at, message);
                     }
                 }
                 Action::EndForReturn(id) => {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -31,7 +31,7 @@
 
 use crate::director::{Counters, Director, Input, Lifecycle, MetricsRegistry, Output, SessionEnd};
 use crate::interface::Micros;
-use crate::platform::{rtsp, viewer};
+use crate::platform::viewer;
 use crate::settings::{NameRegistry, RawSettings, TransportSettings};
 use agreed::Agreed;
 pub use agreed::{LogSeen, Request, Told};
@@ -50,6 +50,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 use stonewharf_halls::SharedHalls;
+use streamers::ControlMessage;
 
 /// Rounds of core and transport processing in one turn. Inputs that remain are processed in the next turn.
 const MAX_ROUNDS_PER_TURN: usize = 16;
@@ -251,10 +252,10 @@
                 self.components.streamers.cancel_attempt(shared, streamer, attempt)
             }
             Output::Drop(streamer, id) => {
-                self.components.streamers.send_control(shared, streamer, rtsp::release(id), Some(id))
+                self.components.streamers.send_control(shared, streamer, ControlMessage::Release(id))
             }
             Output::Rung(streamer, id, rung) => {
-                self.components.streamers.send_control(shared, streamer, rtsp::set_rung(id, rung), Some(id));
+                self.components.streamers.send_control(shared, streamer, ControlMessage::SetRung(id, rung));
             }
             Output::Probe(streamer) => self.components.streamers.probe(shared, streamer),
             Output::Attend(streamer) => self.components.streamers.ensure_connected(shared, streamer),
--- a/src/net/streamers/connection.rs
+++ b/src/net/streamers/connection.rs
@@ -2,6 +2,7 @@
 //! messages into inputs of the core.
 use super::super::connection::Connection;
 use super::super::shared::Shared;
+use super::control::{ControlMessage, WrittenControl};
 use super::input_loss::LossCount;
 use crate::director::{Attempt, Input, Parcel, SessionEnd};
 use crate::interface::{Micros, Outcome, RequestId, StreamerId};
@@ -24,8 +25,7 @@
         parcel: Rc<Parcel>,
     },
     Cancel(Attempt),
-    /// Any other encoded message; with the session if this director acts on it by its own decision.
-    Control(Vec<u8>, Option<RequestId>),
+    Control(ControlMessage),
 }
 
 /// The message that is being written.
@@ -33,7 +33,7 @@
 pub enum MessageInProgress {
     SetUp(Attempt),
     Cancel(Attempt),
-    Control(Vec<u8>, Option<RequestId>),
+    Control(ControlMessage),
 }
 
 /// One connection to a streamer.
@@ -52,6 +52,8 @@
     /// second answer to one of them could not be told from the answer to a further attempt on this
     /// connection.
     pub rejected: VecDeque<RequestId>,
+    /// Control messages that the streamer may not have read.
+    pub written_control: WrittenControl,
     /// Load probes without an answer yet.
     pub probes: BTreeSet<RequestId>,
     /// Whether a set-up was ever queued on it.
@@ -111,13 +113,15 @@
                 Input::Probed { streamer, outcome, report }
             }
             FromStreamer::Note(session, Some(kind), value) => Input::Noted { streamer, session, kind, value },
-            // Only needed where sessions outlive their director.
-            FromStreamer::ReleaseAcknowledged(session) if shared.ownership.is_some() => {
+            FromStreamer::ReleaseAcknowledged(session) => {
+                self.written_control.acknowledged(session);
+                // Only needed where sessions outlive their director.
+                if shared.ownership.is_none() {
+                    return;
+                }
                 Input::DropHeard(session)
             }
-            FromStreamer::Note(_, None, _)
-            | FromStreamer::ReleaseAcknowledged(_)
-            | FromStreamer::Irrelevant => return,
+            FromStreamer::Note(_, None, _) | FromStreamer::Irrelevant => return,
         };
         shared.inputs.push(input);
     }
--- a/src/net/streamers/io.rs
+++ b/src/net/streamers/io.rs
@@ -3,10 +3,10 @@
 use super::super::connection::ReadOutcome;
 use super::super::poll::Token;
 use super::super::shared::Shared;
+use super::Streamers;
 use super::connection::{MessageInProgress, QueuedMessage};
-use super::{MAX_QUEUED_MESSAGES, Streamers};
 use crate::director::{Attempt, Input, UnsentReason};
-use crate::interface::{LoadReport, Outcome, Standing};
+use crate::interface::{LoadReport, Outcome, Standing, StreamerId};
 use crate::platform::rtsp;
 use slog::{debug, warn};
 use std::io;
@@ -32,9 +32,8 @@
                     shared.counters.inputs_recovered += 1;
                     debug!(shared.log, "connection established after a loss of input"; "streamer" => streamer.0);
                 }
-                let control_messages =
-                    pool.unsent_control.drain(..).map(|kept| QueuedMessage::Control(kept.1, kept.2));
-                control_messages.for_each(|message| connection.queue.push_back(message));
+                let control_messages = pool.unsent_control.drain(..);
+                connection.queue.extend(control_messages.map(|(_, message)| QueuedMessage::Control(message)));
             }
         }
         if writable {
@@ -119,15 +118,19 @@
             match connection.writing.take() {
                 Some(MessageInProgress::Cancel(attempt)) => shared.inputs.push(Input::GaveUp(attempt)),
                 Some(MessageInProgress::SetUp(_)) => shared.counters.relayed += 1,
-                Some(MessageInProgress::Control(..)) | None => {}
+                Some(MessageInProgress::Control(message)) => {
+                    connection.written_control.record(shared.now, message);
+                }
+                None => {}
             }
             match connection.queue.pop_front() {
                 None => return,
                 // Not sent if this director's permission to act on the session expired while it was queued.
-                Some(QueuedMessage::Control(_, Some(session))) if !shared.may_act(session) => {}
-                Some(QueuedMessage::Control(bytes, acting_on)) => {
-                    connection.socket.queue(&bytes);
-                    connection.writing = Some(MessageInProgress::Control(bytes, acting_on));
+                Some(QueuedMessage::Control(message))
+                    if message.session().is_some_and(|session| !shared.may_act(session)) => {}
+                Some(QueuedMessage::Control(message)) => {
+                    connection.socket.queue(&message.encode());
+                    connection.writing = Some(MessageInProgress::Control(message));
                 }
                 // The session may belong to another director by now, and must not be ended by this one.
                 Some(QueuedMessage::Cancel(attempt)) if !shared.may_act(attempt.session) => {
@@ -185,20 +188,42 @@
             debug!(shared.log, "input of a streamer may be lost with its connection"; "streamer" => streamer.0);
             pool.input_loss.record(shared.now);
         }
+        for message in connection.written_control.unread(shared.now) {
+            shared.inputs.extend(message.into_unread_input(streamer));
+        }
+        let mut unsent = Vec::new();
         // A message that was cut off was not processed, and sending a complete one twice does no harm.
-        if let Some(MessageInProgress::Control(bytes, acting_on)) = connection.writing {
-            pool.unsent_control.push_back((shared.now, bytes, acting_on));
+        if let Some(MessageInProgress::Control(message)) = connection.writing {
+            unsent.push(message);
         }
         for message in connection.queue {
             match message {
                 QueuedMessage::Cancel(attempt) => shared.inputs.push(Input::GaveUp(attempt)),
-                QueuedMessage::Control(bytes, acting_on)
-                    if pool.unsent_control.len() < MAX_QUEUED_MESSAGES =>
-                {
-                    pool.unsent_control.push_back((shared.now, bytes, acting_on));
-                }
-                QueuedMessage::Control(..) | QueuedMessage::SetUp { .. } => {}
+                QueuedMessage::Control(message) => unsent.push(message),
+                QueuedMessage::SetUp { .. } => {}
             }
         }
+        // Probes were reported as failed above.
+        for message in unsent.into_iter().filter(|message| message.session().is_some()) {
+            pool.keep_unsent(shared, message);
+        }
+        self.send_unsent_control(streamer);
+    }
+
+    /// Passes control messages that wait for a connection to an established one, if there is one.
+    fn send_unsent_control(&mut self, streamer: StreamerId) {
+        let Some(token) = self.pools.get(&streamer).and_then(|pool| self.control_connection(pool)) else {
+            return;
+        };
+        let (Some(pool), Some(connection)) =
+            (self.pools.get_mut(&streamer), self.connections.get_mut(&token))
+        else {
+            return;
+        };
+        if !pool.unsent_control.is_empty() {
+            let control_messages = pool.unsent_control.drain(..);
+            connection.queue.extend(control_messages.map(|(_, message)| QueuedMessage::Control(message)));
+            self.writable.insert(token);
+        }
     }
 }
--- a/src/net/streamers/mod.rs
+++ b/src/net/streamers/mod.rs
@@ -1,6 +1,7 @@
 //! Connections to streamers: a pool per listed streamer, the messages queued on its connections, and the
 //! detection of lost streamers as opposed to silent ones. The core decides which streamer receives what.
 mod connection;
+mod control;
 mod input_loss;
 mod io;
 mod pool;
@@ -10,9 +11,9 @@
 use super::shared::{Deadline, Shared};
 use crate::director::{Attempt, Director, Input, SetUp, UnsentReason};
 use crate::interface::{Entry, ListScope, LoadReport, Micros, Outcome, RequestId, Standing, StreamerId};
-use crate::platform::rtsp;
 use crate::settings::TransportSettings;
 use connection::{MessageInProgress, QueuedMessage, StreamerConnection};
+pub use control::ControlMessage;
 use input_loss::InputLoss;
 use slog::info;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -49,8 +50,8 @@
     address: Option<SocketAddr>,
     standing: Standing,
     connections: BTreeSet<Token>,
-    /// Releases and rung changes that wait for a connection: when queued, encoded message, session acted on.
-    unsent_control: VecDeque<(Micros, Vec<u8>, Option<RequestId>)>,
+    /// Releases and rung changes that wait for a connection, with the time at which they were queued.
+    unsent_control: VecDeque<(Micros, ControlMessage)>,
     last_received_at: Micros,
     /// Start of the first failed connection attempt since the streamer was last heard from.
     failing_since: Option<Micros>,
@@ -60,6 +61,17 @@
     next_dial_at: Micros,
 }
 
+impl Pool {
+    /// Keeps a control message until there is a connection. If too many are kept, the message is dropped.
+    fn keep_unsent(&mut self, shared: &mut Shared, message: ControlMessage) {
+        if self.unsent_control.len() < MAX_QUEUED_MESSAGES {
+            self.unsent_control.push_back((shared.now, message));
+        } else {
+            shared.counters.control_dropped += 1;
+        }
+    }
+}
+
 /// All connections to streamers.
 pub struct Streamers {
     pools: BTreeMap<StreamerId, Pool>,
@@ -209,26 +221,17 @@
         }
     }
 
-    /// Sends a control message, which releases an established session or sets its rung. `acting_on` names the
-    /// session if this director acts on its own decision: the message is then sent only while it may do so.
-    pub fn send_control(
-        &mut self,
-        shared: &mut Shared,
-        streamer: StreamerId,
-        bytes: Vec<u8>,
-        acting_on: Option<RequestId>,
-    ) {
+    /// Sends a control message. One that concerns a session is sent only while this director may act on it.
+    pub fn send_control(&mut self, shared: &mut Shared, streamer: StreamerId, message: ControlMessage) {
         let token = self.pools.get(&streamer).and_then(|p| self.control_connection(p));
         match token.and_then(|token| Some((token, self.connections.get_mut(&token)?))) {
             Some((token, connection)) => {
-                connection.queue.push_back(QueuedMessage::Control(bytes, acting_on));
+                connection.queue.push_back(QueuedMessage::Control(message));
                 self.write_queue(shared, token);
             }
             None => {
-                if let Some(pool) =
-                    self.pools.get_mut(&streamer).filter(|p| p.unsent_control.len() < MAX_QUEUED_MESSAGES)
-                {
-                    pool.unsent_control.push_back((shared.now, bytes, acting_on));
+                if let Some(pool) = self.pools.get_mut(&streamer) {
+                    pool.keep_unsent(shared, message);
                 }
                 self.ensure_connected(shared, streamer);
             }
@@ -251,7 +254,7 @@
         if let Some(connection) = self.connections.get_mut(&token) {
             connection.last_used_at = shared.now;
             connection.probes.insert(id);
-            connection.queue.push_back(QueuedMessage::Control(rtsp::load_probe(id), None));
+            connection.queue.push_back(QueuedMessage::Control(ControlMessage::Probe(id)));
             let dial_allowance_us = if connection.connected { 0 } else { self.transport.dial_timeout_us };
             shared.schedule(self.transport.dial_timeout_us + dial_allowance_us, Deadline::Probe(token, id));
         }
--- a/src/net/streamers/pool.rs
+++ b/src/net/streamers/pool.rs
@@ -4,6 +4,7 @@
 use super::super::poll::Token;
 use super::super::shared::{Deadline, Shared};
 use super::connection::StreamerConnection;
+use super::control::WrittenControl;
 use super::{
     CONTROL_REDIAL_DELAY_US, MAX_CANCELLED_SET_UPS, MAX_QUEUED_MESSAGES, Pool, RECENT_INPUT_US,
     REDIAL_INTERVAL_US, REFUSED_LOST_US, SILENCE_CHECK_US, UNREACHABLE_LOST_US,
@@ -97,6 +98,7 @@
             open_attempts: BTreeMap::new(),
             cancelled: BTreeSet::new(),
             rejected: VecDeque::new(),
+            written_control: WrittenControl::default(),
             probes: BTreeSet::new(),
             carried_set_up: false,
             last_used_at: shared.now,
@@ -124,6 +126,7 @@
         let Some(connection) = self.connections.get_mut(&token) else { return };
         if connection.last_received_at < shared.now {
             connection.input_complete = !connection.socket.has_partial_message();
+            connection.written_control = WrittenControl::default(); // an orderly close delivers what was written
             self.close(shared, token);
         }
     }
@@ -193,6 +196,7 @@
                 .is_some_and(|(queued_at, ..)| queued_at.saturating_add(CONTROL_RETENTION_US) <= now)
             {
                 pool.unsent_control.pop_front();
+                shared.counters.control_dropped += 1;
             }
             let has_sessions = sessions_at(streamer) > 0;
             let pool_connections = || pool.connections.iter().filter_map(|t| self.connections.get(t));
