Open a connection where a message is overdue on one that stays open

What callers saw: a streamer's message stopped short, or an answer never came, and the connection stayed open; a release behind it was lost, and its viewer was not told while another connection to the same streamer was in use.

Cause: a loss was noted only when a connection ended, and silence was looked at for a streamer as a whole, not for a connection.

Set-ups given up by viewers and quiet connections cost nothing.

Tests: tests/lost_input.rs, the two "behind ..." tests failed before (no connection within 8 s); "a_quiet_connection" guards the cost.

--- a/crates/core/src/director/counters.rs
+++ b/crates/core/src/director/counters.rs
@@ -139,7 +139,8 @@
     streamer_connections,
     /// Connections to streamers that could not be established.
     dials_failed,
-    /// Connections to streamers that ended with input that may not have been read.
+    /// Connections to streamers on which input may have been lost: they ended before all was read, or a
+    /// message stayed overdue on them.
     inputs_lost,
     /// Connections established to streamers after such a loss, on which streamers repeat releases.
     inputs_recovered,
--- a/src/net/streamers/connection.rs
+++ b/src/net/streamers/connection.rs
@@ -2,6 +2,7 @@
 //! messages into inputs of the core.
 use super::super::connection::Connection;
 use super::super::shared::Shared;
+use super::SILENCE_CHECK_US;
 use super::control::{ControlMessage, WrittenControl};
 use super::input_loss::LossCount;
 use crate::director::{Attempt, Input, Parcel, SessionEnd};
@@ -36,6 +37,17 @@
     Control(ControlMessage),
 }
 
+/// A set-up without an answer.
+#[derive(Clone, Copy)]
+pub struct OpenAttempt {
+    /// Number of the attempt.
+    pub number: u32,
+    /// When the director stops waiting for the answer.
+    pub until: Micros,
+    /// Whether the set-up was handed to the socket.
+    pub started: bool,
+}
+
 /// One connection to a streamer.
 pub struct StreamerConnection {
     pub streamer: StreamerId,
@@ -44,8 +56,8 @@
     pub queue: VecDeque<QueuedMessage>,
     /// The message that was last handed to the socket, until it is completely written.
     pub writing: Option<MessageInProgress>,
-    /// Open set-ups: attempt number, and whether the set-up was handed to the socket.
-    pub open_attempts: BTreeMap<RequestId, (u32, bool)>,
+    /// Open set-ups.
+    pub open_attempts: BTreeMap<RequestId, OpenAttempt>,
     /// Sessions whose set-ups were cancelled and that have not been answered since.
     pub cancelled: BTreeSet<RequestId>,
     /// Sessions whose set-ups were answered or released without having been established, the latest last. A
@@ -60,6 +72,10 @@
     pub carried_set_up: bool,
     pub last_used_at: Micros,
     pub last_received_at: Micros,
+    /// Since when the rest of a message, or an answer whose time is up, is due and no message has come.
+    pub overdue_since: Option<Micros>,
+    /// It was recorded as a loss of input that no message has come since `overdue_since`.
+    pub doubted: bool,
     /// It received data that could not be parsed.
     pub input_unparseable: bool,
     /// All that the streamer sent on it has been read: it ended in order after a whole message, or was idle.
@@ -80,6 +96,23 @@
         withdrawn
     }
 
+    /// Records what a read brought: whether messages were among it, and whether part of one is left.
+    pub fn record_received(&mut self, now: Micros, messages: bool) {
+        if messages {
+            (self.last_received_at, self.overdue_since, self.doubted) = (now, None, false);
+        }
+        if self.socket.has_partial_message() {
+            self.overdue_since.get_or_insert(now);
+        }
+    }
+
+    /// Whether a message has been overdue on it for so long that what follows it may be lost as well. Returns
+    /// true once.
+    pub fn becomes_doubtful(&mut self, now: Micros) -> bool {
+        let overdue = self.overdue_since.is_some_and(|since| since.saturating_add(SILENCE_CHECK_US) <= now);
+        overdue && !std::mem::replace(&mut self.doubted, true)
+    }
+
     /// Translates a streamer's message into an input of the core.
     pub fn handle_message(&mut self, shared: &mut Shared, message: FromStreamer) {
         let streamer = self.streamer;
@@ -99,7 +132,7 @@
                     Some(rtsp::CAUSE_RELEASED) => SessionEnd::Left,
                     _ => SessionEnd::Cut,
                 };
-                let number = self.open_attempts.remove(&session).map(|(number, _)| number);
+                let number = self.open_attempts.remove(&session).map(|attempt| attempt.number);
                 if number.is_some() {
                     self.record_rejected(session);
                 }
@@ -147,6 +180,6 @@
         if self.cancelled.remove(&session) {
             self.record_rejected(session);
         }
-        self.open_attempts.remove(&session).map(|(number, _)| number)
+        self.open_attempts.remove(&session).map(|attempt| attempt.number)
     }
 }
--- a/src/net/streamers/io.rs
+++ b/src/net/streamers/io.rs
@@ -4,7 +4,7 @@
 use super::super::poll::Token;
 use super::super::shared::Shared;
 use super::Streamers;
-use super::connection::{MessageInProgress, QueuedMessage};
+use super::connection::{MessageInProgress, OpenAttempt, QueuedMessage};
 use crate::director::{Attempt, Input, UnsentReason};
 use crate::interface::{LoadReport, Outcome, Standing, StreamerId};
 use crate::platform::rtsp;
@@ -75,11 +75,11 @@
         let Some(connection) = self.connections.get_mut(&token) else { return };
         let read_result = connection.socket.read();
         let (messages, parse_error) = connection.socket.take_messages(rtsp::read);
-        if !messages.is_empty() {
-            connection.last_received_at = shared.now;
-            if let Some(pool) = self.pools.get_mut(&connection.streamer) {
-                (pool.last_received_at, pool.failing_since) = (shared.now, None);
-            }
+        connection.record_received(shared.now, !messages.is_empty());
+        if !messages.is_empty()
+            && let Some(pool) = self.pools.get_mut(&connection.streamer)
+        {
+            (pool.last_received_at, pool.failing_since) = (shared.now, None);
         }
         messages.into_iter().for_each(|message| connection.handle_message(shared, message));
         if let Some(why) = parse_error {
@@ -149,7 +149,8 @@
                         Some(bytes) => {
                             connection.socket.queue(&bytes);
                             connection.writing = Some(MessageInProgress::SetUp(attempt));
-                            connection.open_attempts.insert(attempt.session, (attempt.number, true));
+                            let open = OpenAttempt { number: attempt.number, until, started: true };
+                            connection.open_attempts.insert(attempt.session, open);
                         }
                         None => {
                             connection.open_attempts.remove(&attempt.session);
@@ -165,10 +166,10 @@
     pub(super) fn close(&mut self, shared: &mut Shared, token: Token) {
         let Some(connection) = self.connections.remove(&token) else { return };
         let streamer = connection.streamer;
-        for (session, (number, started)) in &connection.open_attempts {
-            let attempt = Attempt { session: *session, number: *number };
+        for (session, open) in &connection.open_attempts {
+            let attempt = Attempt { session: *session, number: open.number };
             let unsent = Input::Unsent(attempt, UnsentReason::NoConnection);
-            shared.inputs.push(match *started {
+            shared.inputs.push(match open.started {
                 true if connection.input_unparseable => Input::Spoilt(attempt),
                 true => Input::Broken(attempt),
                 false => unsent,
@@ -184,9 +185,7 @@
         let Some(pool) = self.pools.get_mut(&streamer) else { return };
         pool.connections.remove(&token);
         if connection.connected && !connection.input_complete {
-            shared.counters.inputs_lost += 1;
-            debug!(shared.log, "input of a streamer may be lost with its connection"; "streamer" => streamer.0);
-            pool.input_loss.record(shared.now);
+            pool.record_input_loss(shared, streamer);
         }
         for message in connection.written_control.unread(shared.now) {
             shared.inputs.extend(message.into_unread_input(streamer));
--- a/src/net/streamers/mod.rs
+++ b/src/net/streamers/mod.rs
@@ -12,10 +12,10 @@
 use crate::director::{Attempt, Director, Input, SetUp, UnsentReason};
 use crate::interface::{Entry, ListScope, LoadReport, Micros, Outcome, RequestId, Standing, StreamerId};
 use crate::settings::TransportSettings;
-use connection::{MessageInProgress, QueuedMessage, StreamerConnection};
+use connection::{MessageInProgress, OpenAttempt, QueuedMessage, StreamerConnection};
 pub use control::ControlMessage;
 use input_loss::InputLoss;
-use slog::info;
+use slog::{debug, info};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 
@@ -62,6 +62,13 @@
 }
 
 impl Pool {
+    /// Records that the streamer's last input may have been lost with, or on, a connection.
+    fn record_input_loss(&mut self, shared: &mut Shared, streamer: StreamerId) {
+        shared.counters.inputs_lost += 1;
+        debug!(shared.log, "input of a streamer may be lost"; "streamer" => streamer.0);
+        self.input_loss.record(shared.now);
+    }
+
     /// Keeps a control message until there is a connection. If too many are kept, the message is dropped.
     fn keep_unsent(&mut self, shared: &mut Shared, message: ControlMessage) {
         if self.unsent_control.len() < MAX_QUEUED_MESSAGES {
@@ -172,7 +179,8 @@
         };
         if let Some(connection) = self.connections.get_mut(&token) {
             (connection.last_used_at, connection.carried_set_up) = (shared.now, true);
-            connection.open_attempts.insert(session, (attempt.number, false));
+            let open = OpenAttempt { number: attempt.number, until, started: false };
+            connection.open_attempts.insert(session, open);
             connection.queue.push_back(QueuedMessage::SetUp { attempt, rung, until, send_by, parcel });
         }
         self.write_queue(shared, token);
@@ -184,15 +192,19 @@
         let connections = self.pools.get(&streamer).map(|p| p.connections.clone()).unwrap_or_default();
         let carries_attempt = |t: &Token| {
             let open = self.connections.get(t).and_then(|c| c.open_attempts.get(&session));
-            open.is_some_and(|(number, _)| *number == attempt.number)
+            open.is_some_and(|open| open.number == attempt.number)
         };
         let Some(token) = connections.into_iter().find(carries_attempt) else {
             shared.inputs.push(Input::GaveUp(attempt)); // the close of its connection cancelled it
             return;
         };
         let Some(connection) = self.connections.get_mut(&token) else { return };
-        let started = connection.open_attempts.remove(&session).is_some_and(|(_, started)| started);
+        let open = connection.open_attempts.remove(&session);
+        let started = open.is_some_and(|open| open.started);
         if started && !connection.withdraw_unwritten(attempt) {
+            if open.is_some_and(|open| open.until <= shared.now) {
+                connection.overdue_since.get_or_insert(shared.now);
+            }
             connection.cancelled.insert(session);
             connection.queue.push_back(QueuedMessage::Cancel(attempt));
             shared.schedule(CANCEL_WRITE_TIMEOUT_US, Deadline::Cancel(token, attempt));
--- a/src/net/streamers/pool.rs
+++ b/src/net/streamers/pool.rs
@@ -103,6 +103,8 @@
             carried_set_up: false,
             last_used_at: shared.now,
             last_received_at: 0,
+            overdue_since: None,
+            doubted: false,
             input_unparseable: false,
             input_complete: false,
             losses_at_begin,
@@ -131,6 +133,19 @@
         }
     }
 
+    /// Records a loss of input for each connection on which a message is overdue. A message that stops short or
+    /// never arrives shows that nothing else may arrive on that connection, though it stays open and others to
+    /// the same streamer are in use.
+    fn doubt_overdue_connections(&mut self, shared: &mut Shared) {
+        for connection in self.connections.values_mut().filter(|connection| connection.connected) {
+            if connection.becomes_doubtful(shared.now)
+                && let Some(pool) = self.pools.get_mut(&connection.streamer)
+            {
+                pool.record_input_loss(shared, connection.streamer);
+            }
+        }
+    }
+
     /// Records a failed connection attempt that began at `since`.
     pub(super) fn dial_failed(
         &mut self,
@@ -187,6 +202,7 @@
         };
         let idle: Vec<Token> = self.connections.values().filter(is_idle).map(|c| c.socket.token()).collect();
         idle.into_iter().for_each(|token| self.close_unless_received(shared, token));
+        self.doubt_overdue_connections(shared);
         let ids: Vec<StreamerId> = self.pools.keys().copied().collect();
         for streamer in ids {
             let Some(pool) = self.pools.get_mut(&streamer) else { continue };
--- a/tests/lost_input.rs
+++ b/tests/lost_input.rs
@@ -80,11 +80,7 @@
 
     /// Sends a note on the second connection.
     fn send_note(&mut self) {
-        let first = "ANNOUNCE rtsp://media/x RTSP/1.0\r\nCSeq: 9\r\n";
-        let note = format!(
-            "{first}Session: {SECOND_SESSION:016x}\r\nWarning-Word: served\r\nX-Reading: 1\r\nContent-Length: 0\r\n\r\n"
-        );
-        self.second.write_all(note.as_bytes()).expect("written");
+        self.second.write_all(&note(SECOND_SESSION)).expect("written");
     }
 
     /// Repeats the release on a new connection, and expects that its viewer is told.
@@ -133,3 +129,55 @@
     let mut third = streamer.next_connection(&listener, lost_at).expect("another one within the time limit");
     streamer.repeat_release(&mut third);
 }
+
+/// A message stops short and its connection stays open: what the streamer sends on it after that is lost. No other one was
+/// opened while a further connection to the streamer was in use.
+#[test]
+fn a_release_lost_behind_a_message_that_stops_short_is_received() {
+    let mut streamer = TwoConnections::start();
+    let listener = Arc::clone(&streamer.rig.streamer);
+    let first = streamer.first.as_mut().expect("open");
+    first.write_all(&teardown(FIRST_SESSION)[..40]).expect("written");
+    let lost_at = Instant::now();
+    let mut next = streamer.next_connection(&listener, lost_at).expect("a connection within the time limit");
+    streamer.repeat_release(&mut next);
+}
+
+/// The same where an answer never arrives: nothing that follows it on that connection does either.
+#[test]
+fn a_release_lost_behind_an_answer_that_never_arrives_is_received() {
+    let mut streamer = TwoConnections::start();
+    let listener = Arc::clone(&streamer.rig.streamer);
+    // The connection that was received on last is used first.
+    let first = streamer.first.as_mut().expect("open");
+    first.write_all(&note(FIRST_SESSION)).expect("written");
+    wait_until("the note is read", || streamer.rig.metric("notes") == 1);
+    let attributes = b"home:0;copies:1;top:1;viewer:00000000b4d65521";
+    let parameters: [(u8, &[u8]); 5] =
+        [(16, b"replay"), (19, b"300"), (28, b"7f3a"), (31, attributes), (61, b"offer")];
+    streamer.viewer.write_all(&message(1, 0x503, &parameters)).expect("written");
+    assert!(read_rtsp(first).starts_with("SETUP"));
+    let lost_at = Instant::now();
+    assert_eq!(read_message(&mut streamer.viewer).0, 12, "its time is up");
+    let mut next = streamer.next_connection(&listener, lost_at).expect("a connection within the time limit");
+    streamer.repeat_release(&mut next);
+}
+
+/// Neither a set-up that is given up by its viewer nor a quiet connection costs a new connection.
+#[test]
+fn a_quiet_connection_on_which_nothing_is_due_is_not_doubted() {
+    let mut streamer = TwoConnections::start();
+    let first = streamer.first.as_mut().expect("open");
+    first.write_all(&note(FIRST_SESSION)).expect("written");
+    wait_until("the note is read", || streamer.rig.metric("notes") == 1);
+    streamer.viewer.write_all(&set_up(0x504, "replay")).expect("written");
+    assert!(read_rtsp(first).starts_with("SETUP"));
+    streamer.viewer.write_all(&message(12, 0x504, &[(58, &[16])])).expect("written");
+    assert!(read_rtsp(first).starts_with("TEARDOWN"));
+    let since = Instant::now();
+    while since.elapsed() < Duration::from_secs(4) {
+        streamer.send_note();
+        std::thread::sleep(NOTE_INTERVAL);
+    }
+    assert_eq!(streamer.rig.metric("streamer_connections"), 2);
+}
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -378,6 +378,13 @@
     format!("{first}Session: {session:016x}\r\nReason: cause=16\r\nContent-Length: 0\r\n\r\n").into()
 }
 
+/// Encodes a streamer's note on a session that plays.
+pub fn note(session: u64) -> Vec<u8> {
+    let first = "ANNOUNCE rtsp://media/x RTSP/1.0\r\nCSeq: 9\r\n";
+    let fields = "Warning-Word: served\r\nX-Reading: 1\r\nContent-Length: 0";
+    format!("{first}Session: {session:016x}\r\n{fields}\r\n\r\n").into()
+}
+
 /// Reads a whole response of the admin interface. Returns status and body.
 pub fn read_http_response(mut stream: TcpStream) -> (u16, String) {
     let mut text = String::new();
--- a/tests/unread_releases.rs
+++ b/tests/unread_releases.rs
@@ -23,13 +23,6 @@
     assert!(messages.any(|text| release(&text)), "the session is released");
 }
 
-/// A note of a streamer on a session.
-fn note(id: u64) -> Vec<u8> {
-    let first = "ANNOUNCE rtsp://media/x RTSP/1.0\r\nCSeq: 9\r\n";
-    let fields = "Warning-Word: served\r\nX-Reading: 1\r\nContent-Length: 0";
-    format!("{first}Session: {id:016x}\r\n{fields}\r\n\r\n").into()
-}
-
 /// The message by which a viewer gives a set-up up, or ends its session.
 fn viewer_end(id: u64) -> Vec<u8> {
     message(12, id, &[(58, &[16])])
