--- a/crates/core/src/director/ledger/closed.rs
+++ b/crates/core/src/director/ledger/closed.rs
@@ -57,6 +57,7 @@
                 out.counters.late_answers += 1;
                 out.release_at_streamer(streamer, session);
             }
+            Input::ReleaseUnread(..) => self.handle_input(now, input, out),
             // The successor is not told of the end of a session that it takes over.
             Input::ViewerLeft(..) | Input::Undelivered(_) | Input::Unread(_) | Input::Released { .. }
                 if keep_established =>
--- a/crates/core/src/director/ledger/early_ends.rs
+++ b/crates/core/src/director/ledger/early_ends.rs
@@ -6,7 +6,7 @@
 //!
 //! The number of ends is bounded. When too many are kept, the oldest one of the sender that has sent most
 //! of them is dropped, so that nobody can push out what others have sent.
-use super::super::messages::{SessionEnd, ViewerLink};
+use super::super::messages::{SessionAtStreamer, SessionEnd, ViewerLink};
 use super::outbox::MAX_RECENT_RELEASES;
 use crate::interface::*;
 use std::collections::{BTreeMap, BTreeSet};
@@ -18,7 +18,7 @@
 /// Longest time from then on until a session is handed over.
 const MAX_HANDOVER_US: Micros = 8_000_000;
 /// How long an end is kept.
-const LIFETIME_US: Micros = MAX_STARTUP_US + MAX_SHUTDOWN_US + MAX_HANDOVER_US;
+pub(super) const LIFETIME_US: Micros = MAX_STARTUP_US + MAX_SHUTDOWN_US + MAX_HANDOVER_US;
 /// Most ends that are kept: those of [`LIFETIME_US`] at two hundred sessions a second.
 const MAX_ENDS: usize = 4_096;
 
@@ -36,8 +36,28 @@
     Predecessor,
 }
 
-/// What an end applies to: the session wherever it plays, or only at the streamer that ended it.
-type Scope = (RequestId, Option<StreamerId>);
+/// What an end applies to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Scope {
+    /// The session wherever it plays: its viewer has ended it.
+    Session,
+    /// The session at the streamer that has ended it.
+    EndedBy(StreamerId),
+    /// The session at a streamer at which the previous process has released it.
+    ReleasedAt(StreamerId),
+}
+
+impl Scope {
+    fn streamer(self) -> Option<StreamerId> {
+        match self {
+            Scope::Session => None,
+            Scope::EndedBy(streamer) | Scope::ReleasedAt(streamer) => Some(streamer),
+        }
+    }
+}
+
+/// A session, and what of it has ended.
+type Key = (RequestId, Scope);
 
 #[derive(Clone, Copy, Debug)]
 struct EarlyEnd {
@@ -49,9 +69,11 @@
 /// The ends that are kept.
 #[derive(Debug, Default)]
 pub(super) struct EarlyEnds {
-    ends: BTreeMap<Scope, EarlyEnd>,
-    by_age: BTreeSet<(Micros, Scope)>,
-    by_sender: BTreeMap<Sender, BTreeSet<(Micros, Scope)>>,
+    ends: BTreeMap<Key, EarlyEnd>,
+    by_age: BTreeSet<(Micros, Key)>,
+    by_sender: BTreeMap<Sender, BTreeSet<(Micros, Key)>>,
+    /// The number of ends at each streamer.
+    by_streamer: BTreeMap<StreamerId, usize>,
     /// Senders with the number of their ends.
     by_count: BTreeSet<(usize, Sender)>,
     /// Whether an end was dropped since there was room for the last time.
@@ -72,18 +94,56 @@
 impl EarlyEnds {
     /// Keeps the viewer's end of a session.
     pub(super) fn keep_viewer_end(&mut self, now: Micros, id: RequestId, link: ViewerLink) -> Kept {
-        self.keep(now, (id, None), Sender::Viewer(link), SessionEnd::Left)
+        self.keep(now, (id, Scope::Session), Sender::Viewer(link), SessionEnd::Left)
     }
 
-    /// Keeps an end that the previous process knew of.
+    /// Keeps a viewer's end that the previous process knew of.
     pub(super) fn keep_inherited_end(&mut self, now: Micros, id: RequestId) -> Kept {
-        self.keep(now, (id, None), Sender::Predecessor, SessionEnd::Left)
+        self.keep(now, (id, Scope::Session), Sender::Predecessor, SessionEnd::Left)
+    }
+
+    /// Keeps the release of a session at a streamer by the previous process.
+    pub(super) fn keep_inherited_release(&mut self, now: Micros, at: SessionAtStreamer) -> Kept {
+        let key = (at.session, Scope::ReleasedAt(at.streamer));
+        self.keep(now, key, Sender::Predecessor, SessionEnd::Left)
+    }
+
+    /// Keeps a streamer's release of a session that the previous process knew of.
+    pub(super) fn keep_inherited_streamer_release(
+        &mut self,
+        now: Micros,
+        at: SessionAtStreamer,
+        reason: SessionEnd,
+    ) -> Kept {
+        self.keep(now, (at.session, Scope::EndedBy(at.streamer)), Sender::Predecessor, reason)
     }
 
     /// The sessions that viewers have ended.
     pub(super) fn ended_by_viewers(&mut self, now: Micros) -> Vec<RequestId> {
         self.expire(now);
-        self.ends.keys().filter(|(_, streamer)| streamer.is_none()).map(|(id, _)| *id).collect()
+        self.ends.keys().filter(|(_, scope)| *scope == Scope::Session).map(|(id, _)| *id).collect()
+    }
+
+    /// The sessions that streamers have ended, and why.
+    pub(super) fn ended_by_streamers(&mut self, now: Micros) -> Vec<(SessionAtStreamer, SessionEnd)> {
+        self.expire(now);
+        let ended = |(key, end): (&Key, &EarlyEnd)| match *key {
+            (session, Scope::EndedBy(streamer)) => {
+                Some((SessionAtStreamer { session, streamer }, end.reason))
+            }
+            _ => None,
+        };
+        self.ends.iter().filter_map(ended).collect()
+    }
+
+    /// What the previous process has released at streamers.
+    pub(super) fn inherited_releases(&mut self, now: Micros) -> Vec<SessionAtStreamer> {
+        self.expire(now);
+        let released = |key: &Key| match *key {
+            (session, Scope::ReleasedAt(streamer)) => Some(SessionAtStreamer { session, streamer }),
+            _ => None,
+        };
+        self.ends.keys().filter_map(released).collect()
     }
 
     /// Keeps a streamer's release of a session.
@@ -94,16 +154,19 @@
         streamer: StreamerId,
         reason: SessionEnd,
     ) -> Kept {
-        self.keep(now, (id, Some(streamer)), Sender::Streamer(streamer), reason)
+        self.keep(now, (id, Scope::EndedBy(streamer)), Sender::Streamer(streamer), reason)
     }
 
-    fn keep(&mut self, now: Micros, scope: Scope, sender: Sender, reason: SessionEnd) -> Kept {
-        self.remove(scope);
+    fn keep(&mut self, now: Micros, key: Key, sender: Sender, reason: SessionEnd) -> Kept {
+        self.remove(key);
         self.expire(now);
-        self.ends.insert(scope, EarlyEnd { kept_at: now, sender, reason });
-        self.by_age.insert((now, scope));
+        self.ends.insert(key, EarlyEnd { kept_at: now, sender, reason });
+        self.by_age.insert((now, key));
+        if let Some(streamer) = key.1.streamer() {
+            *self.by_streamer.entry(streamer).or_default() += 1;
+        }
         self.update_sender(sender, |ends| {
-            ends.insert((now, scope));
+            ends.insert((now, key));
         });
         let inherited = self.by_sender.get(&Sender::Predecessor).map_or(0, BTreeSet::len);
         if self.ends.len() - inherited <= MAX_ENDS && inherited <= MAX_INHERITED_ENDS {
@@ -120,7 +183,14 @@
     /// Whether the viewer has ended this session. The end stays, since a hand-over may be repeated.
     pub(super) fn ended_by_viewer(&mut self, now: Micros, id: RequestId) -> bool {
         self.expire(now);
-        self.ends.contains_key(&(id, None))
+        self.ends.contains_key(&(id, Scope::Session))
+    }
+
+    /// Whether the previous process has released this session at this streamer. The release stays, since a
+    /// hand-over may be repeated.
+    pub(super) fn released_by_predecessor(&mut self, now: Micros, at: SessionAtStreamer) -> bool {
+        self.expire(now);
+        self.ends.contains_key(&(at.session, Scope::ReleasedAt(at.streamer)))
     }
 
     /// Removes and returns the release of this session by this streamer.
@@ -131,31 +201,45 @@
         streamer: StreamerId,
     ) -> Option<SessionEnd> {
         self.expire(now);
-        self.remove((id, Some(streamer)))
+        self.remove((id, Scope::EndedBy(streamer)))
+    }
+
+    /// Whether an end at this streamer is kept.
+    pub(super) fn concern(&self, streamer: StreamerId) -> bool {
+        self.by_streamer.contains_key(&streamer)
     }
 
     /// Removes the ends of earlier sessions with this id, since it is set up anew.
     pub(super) fn forget(&mut self, id: RequestId) {
-        let of_session = (id, None)..=(id, Some(StreamerId(u32::MAX)));
-        let scopes: Vec<Scope> = self.ends.range(of_session).map(|(scope, _)| *scope).collect();
-        scopes.into_iter().for_each(|scope| {
-            self.remove(scope);
+        let of_session = (id, Scope::Session)..=(id, Scope::ReleasedAt(StreamerId(u32::MAX)));
+        let keys: Vec<Key> = self.ends.range(of_session).map(|(key, _)| *key).collect();
+        keys.into_iter().for_each(|key| {
+            self.remove(key);
         });
     }
 
-    fn expire(&mut self, now: Micros) {
-        while let Some((kept_at, scope)) = self.by_age.first().copied()
+    /// Drops the ends that were kept for long enough.
+    pub(super) fn expire(&mut self, now: Micros) {
+        while let Some((kept_at, key)) = self.by_age.first().copied()
             && kept_at.saturating_add(LIFETIME_US) <= now
         {
-            self.remove(scope);
+            self.remove(key);
         }
     }
 
-    fn remove(&mut self, scope: Scope) -> Option<SessionEnd> {
-        let EarlyEnd { kept_at, sender, reason } = self.ends.remove(&scope)?;
-        self.by_age.remove(&(kept_at, scope));
+    fn remove(&mut self, key: Key) -> Option<SessionEnd> {
+        let EarlyEnd { kept_at, sender, reason } = self.ends.remove(&key)?;
+        self.by_age.remove(&(kept_at, key));
+        if let Some(streamer) = key.1.streamer()
+            && let Some(count) = self.by_streamer.get_mut(&streamer)
+        {
+            *count -= 1;
+            if *count == 0 {
+                self.by_streamer.remove(&streamer);
+            }
+        }
         self.update_sender(sender, |ends| {
-            ends.remove(&(kept_at, scope));
+            ends.remove(&(kept_at, key));
         });
         Some(reason)
     }
@@ -168,12 +252,12 @@
 
     fn drop_oldest_of(&mut self, sender: Option<Sender>) {
         let ends = sender.and_then(|sender| self.by_sender.get(&sender));
-        if let Some((_, scope)) = ends.and_then(BTreeSet::first).copied() {
-            self.remove(scope);
+        if let Some((_, key)) = ends.and_then(BTreeSet::first).copied() {
+            self.remove(key);
         }
     }
 
-    fn update_sender(&mut self, sender: Sender, change: impl FnOnce(&mut BTreeSet<(Micros, Scope)>)) {
+    fn update_sender(&mut self, sender: Sender, change: impl FnOnce(&mut BTreeSet<(Micros, Key)>)) {
         let ends = self.by_sender.entry(sender).or_default();
         self.by_count.remove(&(ends.len(), sender));
         change(ends);
--- a/crates/core/src/director/ledger/mod.rs
+++ b/crates/core/src/director/ledger/mod.rs
@@ -114,6 +114,8 @@
     /// not report rungs again, and if a session were assumed to be at the lowest rung, an attempt to raise it
     /// would in fact step it down.
     inherited_rungs: BTreeMap<RequestId, usize>,
+    /// When the previous process's record was last loaded.
+    inherited_at: Option<Micros>,
     /// The lowest rung of each class.
     lowest_rungs: Vec<usize>,
     /// For each class, how long streamers recognise a repeated set-up; `None` if they do not.
@@ -180,7 +182,7 @@
     /// Number of requests that have no final answer or have an established session.
     pub(in crate::director) fn open_requests(&self) -> usize {
         let on_links: usize = self.links.values().map(|l| l.pending.len() + l.established).sum();
-        on_links + self.waiting.ids(false).count()
+        on_links + self.waiting.sessions(false).count()
     }
 
     /// Number of unanswered requests on a viewer connection, and of established sessions that came on it.
@@ -293,7 +295,7 @@
             Input::Due(DeadlineKind::Timer(tag)) => out.events.push(Event::Timer(tag)),
             Input::Due(DeadlineKind::Attempt(attempt)) => self.handle_attempt_timeout(attempt, out),
             Input::Due(DeadlineKind::Answer(id)) => self.fail_unanswered(id, out),
-            Input::Due(DeadlineKind::Handover(id)) => self.handle_handover_deadline(now, id, out),
+            Input::Due(DeadlineKind::Handover(at)) => self.handle_handover_deadline(now, at, out),
             Input::Hurry => {
                 let pending: Vec<_> = self.links.values().flat_map(|l| l.pending.iter().copied()).collect();
                 pending.into_iter().for_each(|id| self.fail_unanswered(id, out));
--- a/crates/core/src/director/ledger/outbox.rs
+++ b/crates/core/src/director/ledger/outbox.rs
@@ -12,12 +12,12 @@
     pub(in crate::director) events: Vec<Event>,
     pub(in crate::director) outputs: Vec<Output>,
     pub(in crate::director) counters: Counters,
-    /// The sessions that were last released at their streamers, oldest first. A streamer may not have heard
-    /// of it when a successor takes over what still plays there.
-    pub(in crate::director) recent_releases: VecDeque<RequestId>,
+    /// What was last released at streamers, oldest first. A streamer may not have heard of it when a successor
+    /// takes over what still plays there.
+    pub(in crate::director) recent_releases: VecDeque<SessionAtStreamer>,
 }
 
-/// Most sessions in [`Outbox::recent_releases`].
+/// Most entries of [`Outbox::recent_releases`].
 pub(super) const MAX_RECENT_RELEASES: usize = 1_024;
 
 impl Outbox {
@@ -47,7 +47,7 @@
         if self.recent_releases.len() >= MAX_RECENT_RELEASES {
             self.recent_releases.pop_front();
         }
-        self.recent_releases.push_back(id);
+        self.recent_releases.push_back(SessionAtStreamer { session: id, streamer });
         self.outputs.push(Output::Drop(streamer, id));
     }
 
--- a/crates/core/src/director/messages.rs
+++ b/crates/core/src/director/messages.rs
@@ -26,15 +26,28 @@
 /// No viewer connection: the link of what came from elsewhere.
 pub const NO_LINK: ViewerLink = ViewerLink(usize::MAX);
 
+/// A session at one streamer. What is known of it there says nothing of the same session at other streamers:
+/// an attempt that was answered late at one may stand at another.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct SessionAtStreamer {
+    /// The session.
+    pub session: RequestId,
+    /// The streamer.
+    pub streamer: StreamerId,
+}
+
 /// What a process of a director leaves to the process that replaces it.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Handover {
     /// The established sessions, with their rungs.
     pub rungs: Vec<(RequestId, usize)>,
-    /// Sessions that viewers have ended and that this process did not hold: the other one may.
+    /// Sessions that viewers have ended and that this process did not hold: the other one may. They have ended
+    /// wherever they play.
     pub ended: Vec<RequestId>,
-    /// Sessions that this process has released lately at their streamers, which may not have heard of it yet.
-    pub released: Vec<RequestId>,
+    /// What this process has released lately at streamers, which may not have heard of it yet.
+    pub released: Vec<SessionAtStreamer>,
+    /// Releases by streamers of sessions that this process did not hold, and why.
+    pub released_by_streamers: Vec<(SessionAtStreamer, SessionEnd)>,
 }
 
 /// Identifies one attempt to set up a session.
@@ -77,7 +90,7 @@
     Answer(RequestId),
     /// The wait for the streamer of a session that was handed over, or the time for which it is kept, is
     /// over.
-    Handover(RequestId),
+    Handover(SessionAtStreamer),
 }
 
 /// An event that the ledger processes.
--- a/src/net/estate/tests.rs
+++ b/src/net/estate/tests.rs
@@ -1,6 +1,10 @@
 //! Tests of the hand-over file: damaged files and files of other versions.
 use super::*;
 
+fn at(session: u64, streamer: &str) -> NamedSession {
+    NamedSession { session: RequestId(session), streamer: streamer.to_owned() }
+}
+
 #[test]
 fn the_file_is_read_once_and_damaged_or_other_formats_are_refused() {
     let folder = std::env::temp_dir().join(format!("stonewharf-estate-{}", std::process::id()));
@@ -8,8 +12,14 @@
     let path = file_path(&folder, "n/0");
     assert_eq!(take(&path).expect("nothing yet"), None);
     let rungs = vec![(RequestId(7), 3), (RequestId(u64::MAX), 0)];
-    let handover = Handover { rungs, ended: vec![RequestId(8)], released: vec![RequestId(9)] };
-    let estate = Estate { handover, unsent_ends: vec![vec![1, 2]] };
+    let estate = Estate {
+        rungs,
+        ended: vec![RequestId(8)],
+        released: vec![at(9, "s-1"), at(7, "s-2"), at(10, "s-1")],
+        released_by_streamers: vec![(at(11, "s-2"), SessionEnd::Cut)],
+        unsent_ends: vec![vec![1, 2]],
+        ..Estate::default()
+    };
     write(&path, &Estate::default()).expect("written");
     write(&path, &estate).expect("written again");
     assert_eq!(take(&path).expect("read"), Some(estate.clone()));
@@ -34,6 +44,29 @@
 fn a_file_that_holds_only_rungs_is_read() {
     let file = RungsOnlyFile { format: RUNGS_ONLY_VERSION, sessions: vec![(7, 3)] };
     let estate = parse(&postcard::to_allocvec(&file).expect("encoded")).expect("read");
-    let handover = Handover { rungs: vec![(RequestId(7), 3)], ..Handover::default() };
-    assert_eq!(estate, Estate { handover, unsent_ends: Vec::new() });
+    assert_eq!(estate, Estate { rungs: vec![(RequestId(7), 3)], ..Estate::default() });
+}
+
+/// The version before told which sessions it had released, and not at which streamers: a session that was answered late at
+/// one and played at another was ended there. Those that stand are left out of what it is told, and of what it tells.
+#[test]
+fn the_version_before_tells_and_is_told_only_of_released_sessions_that_stand_nowhere() {
+    let unsent_ends = vec![crate::platform::viewer::release(RequestId(5), 16)];
+    let before = HandOverFile {
+        format: FORMAT_VERSION,
+        sessions: vec![(7, 3)],
+        ended: vec![8],
+        released: vec![7, 9],
+        unsent_ends: unsent_ends.clone(),
+    };
+    let estate = parse(&postcard::to_allocvec(&before).expect("encoded")).expect("read");
+    let (rungs, ended) = (vec![(RequestId(7), 3)], vec![RequestId(8)]);
+    let released_anywhere = vec![RequestId(9)];
+    assert_eq!(estate, Estate { rungs, ended, released_anywhere, unsent_ends, ..Estate::default() });
+
+    let released = vec![at(7, "s-1"), at(9, "s-1")];
+    let file = encode(&Estate { released, released_anywhere: Vec::new(), ..estate });
+    assert_eq!((file.format, file.sessions, file.released), (2, vec![(7, 3)], vec![9]));
+    let messages = file.unsent_ends.iter().filter(|bytes| crate::platform::viewer::ends_session(bytes));
+    assert_eq!(messages.count(), 1, "it takes nothing else for a message");
 }
--- a/src/net/succession.rs
+++ b/src/net/succession.rs
@@ -5,10 +5,10 @@
 //! knows may concern sessions of this one, so this process looks for the file from its start on, for as
 //! long as a replacement may take.
 use super::Node;
-use super::estate::{self, Estate};
+use super::estate::{self, Estate, NamedSession};
 use super::shared::Deadline;
-use crate::director::Input;
-use crate::interface::Micros;
+use crate::director::{Handover, Input, SessionAtStreamer};
+use crate::interface::{Micros, StreamerId};
 use slog::warn;
 
 /// Interval at which the file is looked for.
@@ -44,10 +44,7 @@
         }
         match estate::take(file) {
             Ok(None) => {}
-            Ok(Some(Estate { handover, unsent_ends })) => {
-                self.shared.inputs.push(Input::Inherited(handover));
-                self.components.viewers.send_inherited_releases(&mut self.shared, unsent_ends);
-            }
+            Ok(Some(estate)) => self.inherit(estate),
             Err(why) => {
                 warn!(self.shared.log, "what the previous process left can't be loaded: {why}");
                 self.estate_poll_ends_at = self.shared.now;
@@ -55,11 +52,39 @@
         }
     }
 
-    /// Writes what the next process has to know.
+    fn inherit(&mut self, estate: Estate) {
+        let Estate { rungs, mut ended, released, released_anywhere, released_by_streamers, unsent_ends } =
+            estate;
+        // Those that are held were set up anew here.
+        ended.extend(released_anywhere.into_iter().filter(|id| !self.director.holds(*id)));
+        // Names that discovery does not list stay known: there are no more than the file has.
+        let mut numbered = |at: NamedSession| {
+            let streamer = StreamerId(self.names.streamers.intern(&at.streamer));
+            SessionAtStreamer { session: at.session, streamer }
+        };
+        let released = released.into_iter().map(&mut numbered).collect();
+        let released_by_streamers =
+            released_by_streamers.into_iter().map(|(at, reason)| (numbered(at), reason)).collect();
+        let handover = Handover { rungs, ended, released, released_by_streamers };
+        self.shared.inputs.push(Input::Inherited(handover));
+        self.components.viewers.send_inherited_releases(&mut self.shared, unsent_ends);
+    }
+
+    /// Writes what the next process has to know. What was known of streamers that are gone is left out.
     pub(super) fn write_estate(&mut self, unsent_ends: Vec<Vec<u8>>) {
         let Some(file) = &self.handover_file else { return };
-        let handover = self.director.handover(self.shared.now);
-        if let Err(why) = estate::write(file, &Estate { handover, unsent_ends }) {
+        let Handover { rungs, ended, released, released_by_streamers } =
+            self.director.handover(self.shared.now);
+        let named = |at: SessionAtStreamer| {
+            let streamer = self.names.streamers.resolve(at.streamer.0)?.to_owned();
+            Some(NamedSession { session: at.session, streamer })
+        };
+        let released = released.into_iter().filter_map(named).collect();
+        let released_by_streamers =
+            released_by_streamers.into_iter().filter_map(|(at, reason)| Some((named(at)?, reason))).collect();
+        let estate =
+            Estate { rungs, ended, released, released_by_streamers, unsent_ends, ..Estate::default() };
+        if let Err(why) = estate::write(file, &estate) {
             warn!(self.shared.log, "the hand-over can't be stored for the next process: {why}");
         }
     }
--- a/tests/early_ends.rs
+++ b/tests/early_ends.rs
@@ -87,8 +87,10 @@
         run_turn(&mut director, now, established(streamer, attempt, Some(0)));
         streamers.push(streamer);
     }
-    let (ended, released) = ([1, 3].map(RequestId).to_vec(), [2, 4].map(RequestId).to_vec());
-    let left = Handover { rungs: vec![(RequestId(5), 2)], ended, released };
+    let at = |session, streamer| SessionAtStreamer { session: RequestId(session), streamer };
+    let released = vec![at(2, streamers[1]), at(4, STREAMER)];
+    let (rungs, ended) = (vec![(RequestId(5), 2)], [1, 3].map(RequestId).to_vec());
+    let left = Handover { rungs, ended, released, ..Handover::default() };
     let outputs = run_turn(&mut director, now, Input::Inherited(left));
     assert_eq!(outputs, [Output::Drop(streamers[0], RequestId(1))]);
     for id in [3, 4] {
--- a/tests/handovers.rs
+++ b/tests/handovers.rs
@@ -26,9 +26,13 @@
     Input::List { scope: ListScope::Delta, entries: vec![late] }
 }
 
+fn at_late(id: u64) -> SessionAtStreamer {
+    SessionAtStreamer { session: RequestId(id), streamer: LATE }
+}
+
 /// Whether the director is woken for a session by this time.
 fn due(id: u64) -> Input {
-    Input::Due(DeadlineKind::Handover(RequestId(id)))
+    Input::Due(DeadlineKind::Handover(at_late(id)))
 }
 
 fn cut(id: u64) -> Output {
@@ -74,7 +78,7 @@
     }
     assert!(run_turn(&mut director, now, viewer_end(2)).is_empty());
     assert_eq!(director.open_requests(), 0);
-    assert_eq!(director.handover(now).released, [RequestId(1), RequestId(2)], "the next process has to know");
+    assert_eq!(director.handover(now).released, [at_late(1), at_late(2)], "the next process has to know");
     let outputs = run_turn(&mut director, now + S, listed(Standing::Up));
     assert_eq!(outputs, [Output::Drop(LATE, RequestId(1)), Output::Drop(LATE, RequestId(2))]);
 }
@@ -84,7 +88,7 @@
 fn a_waiting_session_that_the_previous_process_has_ended_is_ended_at_its_streamer() {
     let (mut director, now) = ready_director();
     (1..=2).for_each(|id| drop(run_turn(&mut director, now, handed_over(id))));
-    let (ended, released) = (vec![RequestId(1)], vec![RequestId(2)]);
+    let (ended, released) = (vec![RequestId(1)], vec![at_late(2)]);
     run_turn(&mut director, now, Input::Inherited(Handover { ended, released, ..Handover::default() }));
     assert_eq!(director.open_requests(), 0);
     let outputs = run_turn(&mut director, now + S, listed(Standing::Up));
--- a/tests/replacement.rs
+++ b/tests/replacement.rs
@@ -154,3 +154,81 @@
     end_sessions(&mut platform, &[0xe2]);
     assert_eq!(read_teardown(&mut streamer), 0xe2, "stood");
 }
+
+/// A streamer in a test with two of them.
+struct NamedStreamer {
+    name: &'static str,
+    listener: std::sync::Arc<std::net::TcpListener>,
+}
+
+/// Tells a process of the second streamer.
+fn list_second_streamer(rig: &Rig, second: &NamedStreamer) -> TcpStream {
+    let mut discovery = accept(&rig.discovery);
+    let members = member(second.name, second.listener.local_addr().expect("bound"), "in_service");
+    let event = format!("{{\"no\":2,\"roster\":{{\"members\":[{members}]}}}}\n");
+    discovery.write_all(event.as_bytes()).expect("written");
+    wait_until("the second streamer is listed", || rig.metric("registry_entries") == 2);
+    discovery
+}
+
+/// Accepts the next connection to either streamer, which is the first of the returned ones.
+fn accept_either<'a>(
+    one: &'a NamedStreamer,
+    other: &'a NamedStreamer,
+) -> (TcpStream, &'a NamedStreamer, &'a NamedStreamer) {
+    for listener in [&one.listener, &other.listener] {
+        listener.set_nonblocking(true).expect("set");
+    }
+    let started = std::time::Instant::now();
+    while started.elapsed() < TIMEOUT {
+        for (streamer, rest) in [(one, other), (other, one)] {
+            if let Ok((stream, _)) = streamer.listener.accept() {
+                stream.set_nonblocking(false).expect("set");
+                stream.set_read_timeout(Some(TIMEOUT)).expect("set");
+                return (stream, streamer, rest);
+            }
+        }
+        std::thread::sleep(std::time::Duration::from_millis(2));
+    }
+    panic!("no connection to either streamer");
+}
+
+/// `review/6`: a set-up was answered late at one streamer, released there, and stood at another one. As the process
+/// was replaced, the new one released the session where it played, and its viewer was not told.
+#[test]
+fn a_session_that_was_answered_late_at_another_streamer_stands_after_the_hand_over() {
+    let socket = bind_listener();
+    let discovery = std::sync::Arc::new(bind_listener());
+    let first = NamedStreamer { name: "s-1", listener: std::sync::Arc::new(bind_listener()) };
+    let second = NamedStreamer { name: "s-2", listener: std::sync::Arc::new(bind_listener()) };
+    let mut old = Rig::on_listener(&socket, &first.listener, &discovery);
+    let _old_discovery = list_second_streamer(&old, &second);
+    let mut viewer = old.viewer();
+    viewer.write_all(&set_up(0xf1, "seat-view")).expect("written");
+    let (mut late, late_streamer, playing_streamer) = accept_either(&first, &second);
+    assert!(read_rtsp(&mut late).starts_with("SETUP"));
+    let mut playing = accept(&playing_streamer.listener);
+    assert!(read_rtsp(&mut playing).starts_with("SETUP"), "a further attempt");
+    playing.write_all(&established_response(0xf1, "answer")).expect("written");
+    assert_eq!(read_message(&mut viewer).0, 9);
+    assert_eq!(read_teardown(&mut late), 0xf1, "the first attempt is cancelled");
+    late.write_all(&established_response(0xf1, "late")).expect("written");
+    assert_eq!(read_teardown(&mut late), 0xf1, "the late answer is released");
+
+    let new = Rig::on_listener(&socket, &first.listener, &discovery);
+    let _new_discovery = list_second_streamer(&new, &second);
+    old.signal("-TERM");
+    assert_closed(viewer);
+    assert!(old.child.wait().expect("ended").success());
+    let mut platform = new.viewer();
+    platform.write_all(&handed_over_session(0xf1, playing_streamer.name)).expect("written");
+    end_sessions(&mut platform, &[]);
+    assert_eq!(new.metric("open_requests"), 1, "it stands");
+    // What still plays at the streamer that answered late is ended there, and only there.
+    platform.write_all(&handed_over_session(0xf1, late_streamer.name)).expect("written");
+    assert_eq!(read_teardown(&mut accept(&late_streamer.listener)), 0xf1);
+    assert_eq!(new.metric("open_requests"), 1, "it stands still");
+    let mut playing = accept(&playing_streamer.listener);
+    end_sessions(&mut platform, &[0xf1]);
+    assert_eq!(read_teardown(&mut playing), 0xf1, "its viewer ends it");
+}
