Confirm the end of a session only by the streamer at which it is being ended

What was wrong: with `continuity` on, the acknowledgement of any release counted as the end of the session. One from a streamer that had answered an earlier attempt late confirmed the end of a session that still played elsewhere; it was not repeated, and the viewer who came again could be served beside it.

The trace line of DropHeard names the streamer in addition, so its expected form in tests/outer_names changes with it; it is checked as exactly as before.

--- a/crates/continuity/src/coordinator/end_sessions.rs
+++ b/crates/continuity/src/coordinator/end_sessions.rs
@@ -46,10 +46,12 @@
         self.ending.entry(id).or_insert(EndingSession { streamer, retry_at, tries: 1 });
     }
 
-    /// Its streamer confirmed that a session is over.
-    pub fn end_confirmed(&mut self, now: Micros, id: Id) {
+    /// A streamer confirmed that a session is over there. Other streamers than that where it is being ended say
+    /// nothing of it: an attempt that was answered late may have been released at one.
+    pub fn end_confirmed(&mut self, now: Micros, id: Id, streamer: &str) {
         self.now = self.now.max(now);
-        if self.ending.remove(&id).is_some() {
+        if self.ending.get(&id).is_some_and(|ending| ending.streamer == streamer) {
+            self.ending.remove(&id);
             self.update_session(id, None);
             self.actions.push(Action::Log(LogEvent::EndConfirmed(id)));
             self.with_registry(|registry, context, out| registry.session_over(context, id, out));
@@ -60,7 +62,7 @@
     pub fn streamer_restarted(&mut self, now: Micros, streamer: &str) {
         let gone = self.ending.iter().filter(|(_, s)| s.streamer == streamer);
         let gone: Vec<Id> = gone.map(|(id, _)| *id).collect();
-        gone.into_iter().for_each(|id| self.end_confirmed(now, id));
+        gone.into_iter().for_each(|id| self.end_confirmed(now, id, streamer));
     }
 
     /// Repeats unconfirmed session ends that are due, and gives up after too many tries.
--- a/crates/continuity/tests/world/mod.rs
+++ b/crates/continuity/tests/world/mod.rs
@@ -27,7 +27,9 @@
     Message(usize, usize, u64, Message),
     Command(Command),
     Confirm(usize, u64, u64),
-    EndConfirmed(usize, u64, u64),
+    EndConfirmed(usize, u64, u64, String),
+    /// A streamer that answered an earlier attempt late acknowledges that the session is over there.
+    ConfirmedElsewhere(usize, u64, u64),
 }
 
 /// A session at its streamer.
@@ -293,11 +295,17 @@
                     self.directors[i].coordinator.0.borrow_mut().leadership_confirmed(self.now, led);
                 }
             }
-            NetworkEvent::EndConfirmed(i, incarnation, id) => {
+            NetworkEvent::ConfirmedElsewhere(i, incarnation, id) => {
+                if self.is_running(i) && self.directors[i].incarnation == incarnation {
+                    let mut coordinator = self.directors[i].coordinator.0.borrow_mut();
+                    coordinator.end_confirmed(self.now, id, "s-elsewhere");
+                }
+            }
+            NetworkEvent::EndConfirmed(i, incarnation, id, streamer) => {
                 // A release ends a session that is established or being set up.
                 self.playing.remove(&id);
                 if self.is_running(i) && self.directors[i].incarnation == incarnation {
-                    self.directors[i].coordinator.0.borrow_mut().end_confirmed(self.now, id);
+                    self.directors[i].coordinator.0.borrow_mut().end_confirmed(self.now, id, &streamer);
                 }
             }
         }
--- a/crates/continuity/tests/world/turn.rs
+++ b/crates/continuity/tests/world/turn.rs
@@ -1,6 +1,6 @@
 //! What streamers, viewers and directors do in a step.
 use super::{DIRECTORS, FLEET_MET_AT, NetworkEvent, PlayingSession, SECOND, Sim};
-use stonewharf_continuity::{Action, Member, Message, Record, RequestSummary, Stage};
+use stonewharf_continuity::{Action, LogEvent, Member, Message, Record, RequestSummary, Stage};
 use stonewharf_core::{
     Event, Micros, Outcome, PlacementLimits, Request, RequestId, StreamerId, TitleId, ViewerId, hash_name,
 };
@@ -213,9 +213,11 @@
                     self.adopt(i, id, &record);
                 }
             }
-            Action::EndAtStreamer(id, _) => {
+            Action::EndAtStreamer(id, streamer) => {
                 let delay_us = 1_000 + self.random_below(5_000);
-                self.schedule(delay_us, NetworkEvent::EndConfirmed(i, incarnation, id));
+                let ended = NetworkEvent::EndConfirmed(i, incarnation, id, streamer);
+                self.schedule(delay_us, ended);
+                self.schedule(0, NetworkEvent::ConfirmedElsewhere(i, incarnation, id));
             }
             Action::EndForReturn(id) => {
                 self.directors[i].sessions.remove(&id);
@@ -235,6 +237,9 @@
             Action::Forget(ids) => ids.iter().for_each(|id| {
                 self.directors[i].sessions.remove(id);
             }),
+            Action::Log(LogEvent::EndConfirmed(id)) if self.playing.contains_key(&id) => {
+                self.violations.push(format!("{now}: the end of {id:x} is confirmed while it plays"));
+            }
             Action::MisroutedEnd(..) | Action::Log(_) => {}
         }
         let _ = now;
--- a/crates/core/src/director/messages.rs
+++ b/crates/core/src/director/messages.rs
@@ -190,7 +190,7 @@
     /// The same with a rung change of this session.
     RungUnread(StreamerId, RequestId),
     /// A streamer acknowledged the release of a session, which has ended there. The ledger does not change.
-    DropHeard(RequestId),
+    DropHeard(SessionAtStreamer),
     /// These sessions now belong to another director. The ledger removes them without ending the established
     /// ones at their streamers.
     LaidDown(Vec<RequestId>),
--- a/src/net/hand.rs
+++ b/src/net/hand.rs
@@ -6,7 +6,7 @@
 use super::peers::Peers;
 use super::shared::Shared;
 use super::streamers::ControlMessage;
-use crate::director::{Input, NO_LINK, SessionEnd};
+use crate::director::{Input, NO_LINK, SessionAtStreamer, SessionEnd};
 use crate::interface::{LoadReport, Micros, RequestId, StreamerId};
 use crate::settings::NamedRequest;
 use slog::{debug, info, warn};
@@ -182,7 +182,11 @@
                 {
                     coordinator.misrouted_end(now, session.0, EndKind::Left);
                 }
-                Input::DropHeard(session) => coordinator.end_confirmed(now, session.0),
+                Input::DropHeard(SessionAtStreamer { session, streamer }) => {
+                    if let Some(name) = self.names.streamers.resolve(streamer.0) {
+                        coordinator.end_confirmed(now, session.0, name);
+                    }
+                }
                 Input::Lost(_) => return coordinator.sessions() == 0 || coordinator.leased_until() > now,
                 _ => {}
             }
--- a/src/net/streamers/connection.rs
+++ b/src/net/streamers/connection.rs
@@ -5,7 +5,7 @@
 use super::SILENCE_CHECK_US;
 use super::control::{ControlMessage, WrittenControl};
 use super::input_loss::LossCount;
-use crate::director::{Attempt, Input, Parcel, SessionEnd};
+use crate::director::{Attempt, Input, Parcel, SessionAtStreamer, SessionEnd};
 use crate::interface::{Micros, Outcome, RequestId, StreamerId};
 use crate::platform::rtsp::{self, FromStreamer};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -152,7 +152,7 @@
                 if shared.ownership.is_none() {
                     return;
                 }
-                Input::DropHeard(session)
+                Input::DropHeard(SessionAtStreamer { session, streamer })
             }
             FromStreamer::Note(_, None, _) | FromStreamer::Irrelevant => return,
         };
--- a/tests/outer_names.rs
+++ b/tests/outer_names.rs
@@ -136,7 +136,7 @@
         Input::Broken(attempt),
         Input::Spoilt(attempt),
         Input::Released { streamer, session: id, number, why: SessionEnd::Ended, description, report },
-        Input::DropHeard(id),
+        Input::DropHeard(SessionAtStreamer { session: id, streamer }),
         Input::LaidDown(vec![id]),
         Input::Lost(streamer),
         Input::Contact { streamer, up: true },
