--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -6,6 +6,7 @@
 use super::component::{Component, Ready};
 use super::connection::{Connection, ReadOutcome};
 use super::poll::{Registered, Token};
+use super::read_buffer::FramingError;
 use super::shared::{Deadline, Event, Shared};
 use crate::director::Director;
 use crate::interface::Micros;
@@ -132,14 +133,15 @@
             // its response.
             connection.socket.discard_read();
         } else {
-            match connection.socket.take_message(admin::parse_request) {
+            match connection.socket.take_message(&mut admin::RequestDecoder) {
                 Ok(Some(request)) => {
                     shared.counters.calls += 1;
                     connection.state = RequestState::Pending;
                     shared.events.push(Event::AdminRequest(token, request));
                 }
                 Ok(None) => {}
-                Err(error) => self.reject(shared, token, error),
+                Err(FramingError::Malformed(error)) => self.reject(shared, token, error),
+                Err(FramingError::TooLong(_)) => self.reject(shared, token, AdminError::HeadTooLong),
             }
         }
         // A client that has shut down its sending side may still read the response.
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -1,6 +1,8 @@
 //! A non-blocking TCP connection with its read and write buffers. Handles partial reads and writes; the bytes
 //! read per turn are bounded.
 use super::poll::{Poll, Registered, Token};
+use super::read_buffer::{FramingError, ReadBuffer, release_excess_capacity};
+use crate::platform::framing::Decoder;
 use rustix::io::Errno;
 use socket2::{Domain, Protocol, Socket, Type};
 use std::io::{self, Read, Write};
@@ -9,9 +11,6 @@
 /// Most bytes read from one connection per turn, so that no connection delays the others.
 const MAX_READ_PER_TURN: usize = 64 * 1024;
 
-/// Most bytes of capacity that a drained buffer keeps.
-const IDLE_BUFFER_CAPACITY: usize = 4 * 1024;
-
 /// Result of reading from a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReadOutcome {
@@ -24,7 +23,7 @@
 /// A TCP connection that the event loop polls.
 pub struct Connection {
     socket: Registered<TcpStream>,
-    read_buffer: Vec<u8>,
+    read_buffer: ReadBuffer,
     write_buffer: Vec<u8>,
     written: usize,
     /// Total number of bytes queued for writing.
@@ -70,7 +69,7 @@
         let socket = poll.register(stream, writable)?;
         Ok(Connection {
             socket,
-            read_buffer: Vec::new(),
+            read_buffer: ReadBuffer::default(),
             write_buffer: Vec::new(),
             written: 0,
             queued_total: 0,
@@ -101,7 +100,7 @@
             match self.socket.source().read(&mut chunk) {
                 Ok(0) => return Ok(ReadOutcome::Eof),
                 Ok(n) => {
-                    self.read_buffer.extend_from_slice(chunk.get(..n).unwrap_or_default());
+                    self.read_buffer.extend(chunk.get(..n).unwrap_or_default());
                     total += n;
                     self.read_total += n as u64;
                 }
@@ -113,44 +112,27 @@
         Ok(ReadOutcome::Open)
     }
 
-    /// Removes complete messages from the read buffer. `parse` returns the first message and its length.
+    /// Removes complete messages from the read buffer.
     ///
-    /// If `parse` fails, returns the messages before the malformed one together with the error.
-    pub fn take_messages<M, E>(
+    /// If the bytes can't be decoded, returns the messages before them together with the error.
+    pub fn take_messages<D: Decoder>(
         &mut self,
-        parse: impl Fn(&[u8]) -> Result<Option<(M, usize)>, E>,
-    ) -> (Vec<M>, Option<E>) {
-        let (mut messages, mut parsed) = (Vec::new(), 0);
-        let error = loop {
-            match parse(self.read_buffer.get(parsed..).unwrap_or_default()) {
-                Ok(Some((message, length))) => {
-                    messages.push(message);
-                    parsed += length;
-                }
-                Ok(None) => break None,
-                Err(e) => break Some(e),
-            }
-        };
-        self.read_buffer.drain(..parsed.min(self.read_buffer.len()));
-        release_excess_capacity(&mut self.read_buffer);
-        (messages, error)
+        decoder: &mut D,
+    ) -> (Vec<D::Message>, Option<FramingError<D::Error>>) {
+        self.read_buffer.take_messages(decoder)
     }
 
     /// Removes one complete message from the read buffer. Returns `None` if none is complete yet.
-    pub fn take_message<M, E>(
+    pub fn take_message<D: Decoder>(
         &mut self,
-        parse: impl FnOnce(&[u8]) -> Result<Option<(M, usize)>, E>,
-    ) -> Result<Option<M>, E> {
-        Ok(parse(&self.read_buffer)?.map(|(message, length)| {
-            self.read_buffer.drain(..length.min(self.read_buffer.len()));
-            message
-        }))
+        decoder: &mut D,
+    ) -> Result<Option<D::Message>, FramingError<D::Error>> {
+        self.read_buffer.take_message(decoder)
     }
 
     /// Discards the read buffer.
     pub fn discard_read(&mut self) {
         self.read_buffer.clear();
-        release_excess_capacity(&mut self.read_buffer);
     }
 
     /// Returns the total number of bytes read so far.
@@ -227,10 +209,3 @@
         Ok(true)
     }
 }
-
-/// Releases the capacity that a burst has left in a buffer.
-fn release_excess_capacity(buffer: &mut Vec<u8>) {
-    if buffer.capacity() > IDLE_BUFFER_CAPACITY && buffer.len() <= IDLE_BUFFER_CAPACITY {
-        buffer.shrink_to(IDLE_BUFFER_CAPACITY);
-    }
-}
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -8,8 +8,7 @@
 use super::shared::{self, Deadline, Shared};
 use crate::director::Director;
 use crate::interface::Micros;
-use crate::platform::MAX_MESSAGE_BYTES;
-use crate::platform::discovery::{self, Event, Message};
+use crate::platform::discovery::{self, Event, LineDecoder, Message};
 use slog::{debug, info, warn};
 use std::net::SocketAddr;
 
@@ -24,8 +23,6 @@
 const MIN_RECONNECT_DELAY_US: Micros = 50_000;
 /// Upper bound of the delay before a reconnection.
 const MAX_RECONNECT_DELAY_US: Micros = 1_000_000;
-/// Maximum length of a line, which may hold the full list of a large fleet.
-const MAX_LINE_BYTES: usize = 64 * MAX_MESSAGE_BYTES;
 
 /// Why a line makes the client close the connection.
 #[derive(Debug, thiserror::Error)]
@@ -41,6 +38,7 @@
     address: SocketAddr,
     connection: Option<Connection>,
     connected: bool,
+    lines: LineDecoder,
     last_event: u64,
     /// Time for the first line on a new connection. It doubles with each connection that times out without
     /// one, so that a slow service is heard.
@@ -60,6 +58,7 @@
             address,
             connection: None,
             connected: false,
+            lines: LineDecoder::default(),
             last_event,
             first_line_timeout: HEARTBEAT_TIMEOUT_US,
             heard: false,
@@ -93,6 +92,7 @@
         match Connection::connect(&mut shared.poll, self.address) {
             Ok(connection) => {
                 (self.connection, self.connected) = (Some(connection), false);
+                self.lines = LineDecoder::default();
                 self.set_deadline(shared, CONNECT_TIMEOUT_US);
             }
             Err(error) => self.connection_failed(shared, &error.to_string()),
@@ -134,7 +134,7 @@
             return Vec::new();
         }
         let read_result = connection.read();
-        let (lines, oversized) = connection.take_messages(split_line);
+        let (lines, oversized) = connection.take_messages(&mut self.lines);
         if !lines.is_empty() {
             (self.heard, self.first_line_timeout) = (true, HEARTBEAT_TIMEOUT_US);
             self.set_deadline(shared, HEARTBEAT_TIMEOUT_US);
@@ -209,11 +209,3 @@
         owned
     }
 }
-
-fn split_line(bytes: &[u8]) -> Result<Option<(Vec<u8>, usize)>, ()> {
-    match bytes.iter().position(|byte| *byte == b'\n') {
-        Some(end) => Ok(Some((bytes.get(..end).unwrap_or_default().to_vec(), end + 1))),
-        None if bytes.len() > MAX_LINE_BYTES => Err(()),
-        None => Ok(None),
-    }
-}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -19,6 +19,7 @@
 mod narrowed;
 mod peers;
 mod poll;
+mod read_buffer;
 mod reload;
 mod shared;
 mod signals;
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -1,12 +1,15 @@
 //! The peers' side: one UDP socket and one listener on the address of the block `fleet`, and links to few
 //! peers at a time. Reads and writes what the fleet says; what a peer does costs bounded memory and a bounded
 //! part of a turn. Exists only where the fleet is on. Decides nothing.
+mod frame;
+
 use super::component::{Component, Ready};
 use super::connection::{Connection, ReadOutcome};
 use super::poll::{Registered, Token};
 use super::shared::{Deadline, Shared};
 use crate::director::Director;
 use crate::interface::Micros;
+use frame::FrameDecoder;
 use slog::{Logger, debug, info, warn};
 use socket2::{Domain, Protocol, Socket, Type};
 use std::collections::{BTreeMap, VecDeque};
@@ -267,7 +270,7 @@
         }
         if readable {
             let got = link.line.read();
-            let (frames, bad) = link.line.take_messages(whole_frame);
+            let (frames, bad) = link.line.take_messages(&mut FrameDecoder);
             if !frames.is_empty() {
                 link.used_at = shared.now;
             }
@@ -442,16 +445,6 @@
     }
 }
 
-/// One frame: its length in four bytes, big-endian, and so many bytes.
-fn whole_frame(bytes: &[u8]) -> Result<Option<(Vec<u8>, usize)>, ()> {
-    let Some((length, rest)) = bytes.split_first_chunk::<4>() else { return Ok(None) };
-    let length = u32::from_be_bytes(*length) as usize;
-    if length > FRAME_MOST {
-        return Err(());
-    }
-    Ok(rest.get(..length).map(|frame| (frame.to_vec(), 4 + length)))
-}
-
 /// One line for what has changed; the keys are stable, see docs/operators/fleet.md.
 fn tell(log: &Logger, now: Micros, news: &News) {
     let line = |what: &str, life: &Life, more: &str| {
--- a/src/net/streamers/connection.rs
+++ b/src/net/streamers/connection.rs
@@ -7,7 +7,7 @@
 use super::input_loss::LossCount;
 use crate::director::{Attempt, Input, Parcel, SessionAtStreamer, SessionEnd};
 use crate::interface::{Micros, Outcome, RequestId, StreamerId};
-use crate::platform::rtsp::{self, FromStreamer};
+use crate::platform::rtsp::{self, FromStreamer, MessageDecoder};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::Rc;
 
@@ -52,6 +52,7 @@
 pub struct StreamerConnection {
     pub streamer: StreamerId,
     pub socket: Connection,
+    pub decoder: MessageDecoder,
     pub connected: bool,
     pub queue: VecDeque<QueuedMessage>,
     /// The message that was last handed to the socket, until it is completely written.
--- a/src/net/streamers/io.rs
+++ b/src/net/streamers/io.rs
@@ -74,7 +74,7 @@
     pub(super) fn read(&mut self, shared: &mut Shared, token: Token) {
         let Some(connection) = self.connections.get_mut(&token) else { return };
         let read_result = connection.socket.read();
-        let (messages, parse_error) = connection.socket.take_messages(rtsp::read);
+        let (messages, parse_error) = connection.socket.take_messages(&mut connection.decoder);
         connection.record_received(shared.now, !messages.is_empty());
         if !messages.is_empty()
             && let Some(pool) = self.pools.get_mut(&connection.streamer)
--- a/src/net/streamers/pool.rs
+++ b/src/net/streamers/pool.rs
@@ -12,6 +12,7 @@
 use super::{CONTROL_RETENTION_US, Streamers};
 use crate::director::{Input, UnsentReason};
 use crate::interface::{Micros, RequestId, StreamerId};
+use crate::platform::rtsp::MessageDecoder;
 use slog::{debug, warn};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io;
@@ -92,6 +93,7 @@
         let connection = StreamerConnection {
             streamer,
             socket,
+            decoder: MessageDecoder::default(),
             connected: false,
             queue: VecDeque::new(),
             writing: None,
--- a/src/net/viewers/mod.rs
+++ b/src/net/viewers/mod.rs
@@ -242,7 +242,7 @@
             }
             return;
         }
-        let (mut messages, parse_error) = connection.socket.take_messages(viewer::read);
+        let (mut messages, parse_error) = connection.socket.take_messages(&mut viewer::MessageDecoder);
         if connection.is_half_closed() {
             // Nothing can be answered any more. A viewer sends such a request again on a new connection.
             messages.retain(|message| !message.wants_answer());
--- a/src/platform/admin.rs
+++ b/src/platform/admin.rs
@@ -2,6 +2,7 @@
 //! request per connection.
 //!
 //! `httparse` does the parsing. What a request does is defined elsewhere.
+use super::framing::{Decoded, Decoder};
 use std::fmt::Write;
 
 /// Maximum length of a request's head.
@@ -49,6 +50,21 @@
     }
 }
 
+/// Finds the request of a connection.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct RequestDecoder;
+
+impl Decoder for RequestDecoder {
+    type Message = AdminRequest;
+    type Error = AdminError;
+    const MAX_INCOMPLETE_BYTES: usize = MAX_HEAD_BYTES;
+
+    fn decode(&mut self, bytes: &[u8]) -> Result<Decoded<AdminRequest>, AdminError> {
+        let parsed = parse_request(bytes)?;
+        Ok(parsed.map_or(Decoded::Incomplete, |(request, length)| Decoded::Message(request, length)))
+    }
+}
+
 /// Parses the head of a request. Returns the request and the length of the head in bytes, or `None` if the
 /// head is incomplete. A body is not read, since no request has one.
 pub fn parse_request(bytes: &[u8]) -> Result<Option<(AdminRequest, usize)>, AdminError> {
--- a/src/platform/discovery.rs
+++ b/src/platform/discovery.rs
@@ -2,11 +2,16 @@
 //!
 //! Discovery sends one message per line: an event that changes the streamer list or, every second, the number
 //! of the last event as a heartbeat.
+use super::MAX_MESSAGE_BYTES;
+use super::framing::{Decoded, Decoder};
 use crate::interface::{Entry, ListScope, Micros, Standing};
 use crate::settings::{NameRegistry, NamedEntry};
 use serde::Deserialize;
 use std::net::SocketAddr;
 
+/// Maximum length of a line, which may hold the full list of a large fleet.
+const MAX_LINE_BYTES: usize = 64 * MAX_MESSAGE_BYTES;
+
 /// A line that can't be parsed.
 #[derive(Debug, thiserror::Error)]
 pub enum DiscoveryError {
@@ -90,6 +95,33 @@
     Event(Event),
 }
 
+/// Finds the lines of discovery.
+#[derive(Clone, Debug, Default)]
+pub struct LineDecoder {
+    /// Bytes at the start that have no line feed.
+    searched: usize,
+}
+
+impl Decoder for LineDecoder {
+    type Message = Vec<u8>;
+    type Error = std::convert::Infallible;
+    const MAX_INCOMPLETE_BYTES: usize = MAX_LINE_BYTES;
+
+    fn decode(&mut self, bytes: &[u8]) -> Result<Decoded<Vec<u8>>, Self::Error> {
+        let searched = std::mem::take(&mut self.searched).min(bytes.len());
+        match bytes.iter().skip(searched).position(|byte| *byte == b'\n') {
+            Some(position) => {
+                let end = searched + position;
+                Ok(Decoded::Message(bytes.get(..end).unwrap_or_default().to_vec(), end + 1))
+            }
+            None => {
+                self.searched = bytes.len();
+                Ok(Decoded::Incomplete)
+            }
+        }
+    }
+}
+
 /// Encodes the request for all events after the one with this number.
 pub fn encode_request_after(number: u64) -> Vec<u8> {
     format!("after {number}\n").into_bytes()
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -4,6 +4,7 @@
 pub mod admin;
 pub mod config;
 pub mod discovery;
+pub mod framing;
 pub mod rtsp;
 pub mod viewer;
 
--- a/src/platform/viewer.rs
+++ b/src/platform/viewer.rs
@@ -3,8 +3,12 @@
 //! A message is `length:2 type:1 session:8 parameters`, a parameter `code:1 length:2 value`. Numbers are
 //! big-endian. The length of a message does not include the length field itself.
 use super::MAX_MESSAGE_BYTES;
+use super::framing::{Decoded, Decoder};
 use crate::interface::RequestId;
 
+/// Length of the field that holds the length of a message.
+const LENGTH_BYTES: usize = 2;
+
 const SET_UP: u8 = 1;
 const PROGRESS: u8 = 6;
 const ANSWER: u8 = 9;
@@ -112,6 +116,21 @@
     }
 }
 
+/// Finds the messages of viewers, each of which begins with its length.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct MessageDecoder;
+
+impl Decoder for MessageDecoder {
+    type Message = ViewerMessage;
+    type Error = ViewerError;
+    const MAX_INCOMPLETE_BYTES: usize = LENGTH_BYTES + MAX_MESSAGE_BYTES;
+
+    fn decode(&mut self, bytes: &[u8]) -> Result<Decoded<ViewerMessage>, ViewerError> {
+        let read = read(bytes)?;
+        Ok(read.map_or(Decoded::Incomplete, |(message, length)| Decoded::Message(message, length)))
+    }
+}
+
 /// Parses the first message in `bytes`. Returns it with its encoded length, or `None` if it is incomplete.
 pub fn read(bytes: &[u8]) -> Result<Option<(ViewerMessage, usize)>, ViewerError> {
     let [high, low, rest @ ..] = bytes else { return Ok(None) };
@@ -132,7 +151,7 @@
         PROGRESS | RELEASE_ACK => ViewerMessage::Ignored,
         other => ViewerMessage::Unusable(RequestId(session), ViewerError::UnknownType(other)),
     };
-    Ok(Some((message, 2 + length)))
+    Ok(Some((message, LENGTH_BYTES + length)))
 }
 
 fn parse_set_up(session: u64, mut parameters: &[u8]) -> Result<SetUp, ViewerError> {
