--- a/src/platform/rtsp/decoder.rs
+++ b/src/platform/rtsp/decoder.rs
@@ -7,10 +7,12 @@
 use super::{
     CSEQ_PROBE, CSEQ_RELEASE, CSEQ_SET_UP, Decoded, Decoder, FromStreamer, MAX_MESSAGE_BYTES, RtspError,
 };
-use crate::interface::{LoadReport, NoteKind, Outcome, RequestId};
-use crate::settings::load_report;
+use crate::interface::Outcome;
+use crate::platform::parse_digits;
 use std::ops::Range;
 
+/// Number of digits of a status.
+const STATUS_DIGITS: usize = 3;
 /// Status of a set-up rejected because the streamer was full.
 const STATUS_QUEUE_FULL: u16 = 453;
 /// Status of a set-up that the streamer ignored.
@@ -94,10 +96,7 @@
         if self.start_line.is_none() {
             self.start_line = Some(parse_start_line(line)?);
         } else if matches!(line, b"\r\n" | b"\n") {
-            let length = match self.fields.get("Content-Length") {
-                Some(text) => text.parse::<usize>().map_err(|_| RtspError::Field("Content-Length"))?,
-                None => 0,
-            };
+            let length = self.fields.content_length.ok_or(RtspError::Field("Content-Length"))?;
             let start = self.line_start;
             let end = start.checked_add(length).filter(|end| *end <= MAX_MESSAGE_BYTES);
             self.body = Some(start..end.ok_or(RtspError::TooLong)?);
@@ -113,7 +112,7 @@
             return Ok(Decoded::Incomplete);
         };
         let Some(body) = bytes.get(range.clone()) else { return Ok(Decoded::Incomplete) };
-        let message = parse_message(start_line, |name| self.fields.get(name), body)?;
+        let message = parse_message(start_line, &self.fields, body)?;
         let length = range.end;
         *self = MessageDecoder::default();
         Ok(Decoded::Message(message, length))
@@ -125,8 +124,8 @@
     let line = line.trim_end_matches('\n').trim_end_matches('\r');
     let mut words = line.splitn(3, ' ');
     match (words.next(), words.next(), words.next()) {
-        (Some("RTSP/1.0"), Some(code), _) if code.len() == 3 => {
-            code.parse().map(StartLine::Response).map_err(|_| RtspError::StartLine)
+        (Some("RTSP/1.0"), Some(code), _) if code.len() == STATUS_DIGITS => {
+            parse_digits(code).map(StartLine::Response).ok_or(RtspError::StartLine)
         }
         (Some(method), Some(_), Some("RTSP/1.0")) if !method.is_empty() => {
             Ok(StartLine::Request(method.to_owned()))
@@ -135,19 +134,16 @@
     }
 }
 
-fn parse_message<'a>(
+fn parse_message(
     start_line: &StartLine,
-    field: impl Fn(&str) -> Option<&'a str>,
+    fields: &HeaderFields,
     body: &[u8],
 ) -> Result<FromStreamer, RtspError> {
-    let session = || {
-        let id = field("Session").and_then(|text| u64::from_str_radix(text, 16).ok());
-        id.map(RequestId).ok_or(RtspError::Field("Session"))
-    };
-    let report = || field("P-Load").map(parse_load_report).unwrap_or_default();
+    let session = || fields.session.ok_or(RtspError::Field("Session"));
+    let load = fields.load.unwrap_or_default();
     match start_line {
         StartLine::Response(code) => {
-            let cseq: u32 = field("CSeq").and_then(|c| c.parse().ok()).ok_or(RtspError::Field("CSeq"))?;
+            let cseq = fields.cseq.ok_or(RtspError::Field("CSeq"))?;
             match (cseq, code) {
                 (CSEQ_SET_UP, 100..=199) => Ok(FromStreamer::Irrelevant),
                 (CSEQ_SET_UP, 200..=299) => Ok(FromStreamer::Established(session()?, body.to_vec())),
@@ -158,51 +154,26 @@
                         STATUS_RESET => Outcome::Reset,
                         _ => Outcome::Failed,
                     };
-                    Ok(FromStreamer::Rejected(session()?, outcome, report()))
+                    Ok(FromStreamer::Rejected(session()?, outcome, load))
                 }
                 (CSEQ_PROBE, 200..=599) => {
-                    Ok(FromStreamer::ProbeAnswered(session()?, (200..300).contains(code), report()))
+                    Ok(FromStreamer::ProbeAnswered(session()?, (200..300).contains(code), load))
                 }
                 // The form of this response is not prescribed; without a session it is not usable.
                 (CSEQ_RELEASE, 200..=299) => {
-                    Ok(session().map_or(FromStreamer::Irrelevant, FromStreamer::ReleaseAcknowledged))
+                    Ok(fields.session.map_or(FromStreamer::Irrelevant, FromStreamer::ReleaseAcknowledged))
                 }
                 _ => Ok(FromStreamer::Irrelevant),
             }
         }
         StartLine::Request(method) if method == "TEARDOWN" => {
-            let cause_text =
-                field("Reason").and_then(|r| r.split(';').find_map(|p| p.trim().strip_prefix("cause=")));
-            let cause = cause_text.and_then(|c| c.trim().parse().ok());
-            Ok(FromStreamer::Released(session()?, cause, body.to_vec(), report()))
+            Ok(FromStreamer::Released(session()?, fields.cause, body.to_vec(), load))
         }
         StartLine::Request(method) if method == "ANNOUNCE" => {
-            let kind = match field("Warning-Word").ok_or(RtspError::Field("Warning-Word"))? {
-                "served" => Some(NoteKind::Delivered),
-                "at_rung" => Some(NoteKind::Rung),
-                "link_use" => Some(NoteKind::LinkUse),
-                "rack_use" => Some(NoteKind::UplinkUse),
-                _ => None,
-            };
-            let value = field("X-Reading").and_then(|v| v.parse().ok()).filter(|v: &f64| v.is_finite());
-            Ok(FromStreamer::Note(session()?, kind, value.ok_or(RtspError::Field("X-Reading"))?))
+            let kind = fields.note_kind.ok_or(RtspError::Field("Warning-Word"))?;
+            let reading = fields.reading.ok_or(RtspError::Field("X-Reading"))?;
+            Ok(FromStreamer::Note(session()?, kind, reading))
         }
         StartLine::Request(_) => Ok(FromStreamer::Irrelevant),
     }
 }
-
-/// Parses a load report. Both the platform's and the settings' names of the values are accepted.
-fn parse_load_report(text: &str) -> LoadReport {
-    let value = |name: &str| {
-        let mut pairs = text.split(';').filter_map(|pair| pair.split_once(':'));
-        let found = pairs.find(|(key, _)| key.trim() == name)?.1.trim().parse::<f64>().ok()?;
-        Some(found).filter(|v| v.is_finite())
-    };
-    load_report(|name| {
-        value(name).or_else(|| match name {
-            "load_share" => value("util"),
-            "concurrent" => value("inflight"),
-            _ => None,
-        })
-    })
-}
--- a/src/platform/rtsp/mod.rs
+++ b/src/platform/rtsp/mod.rs
@@ -34,8 +34,8 @@
     /// The header lines cannot be parsed.
     #[error("invalid header lines: {0}")]
     Headers(#[from] httparse::Error),
-    /// A required header field is missing or invalid.
-    #[error("header field {0} is missing or invalid")]
+    /// A required header field is missing, or a field is invalid or there twice.
+    #[error("header field {0} is missing, invalid or there twice")]
     Field(&'static str),
     /// The message is longer than [`MAX_MESSAGE_BYTES`].
     #[error("message exceeds {MAX_MESSAGE_BYTES} bytes")]
--- a/tests/codecs.rs
+++ b/tests/codecs.rs
@@ -167,6 +167,56 @@
     }
 }
 
+/// A field that can't be read, or is there twice, was taken for one that is absent, or the first one counted: the message
+/// is not as the streamer wrote it.
+#[test]
+fn a_message_with_an_unreadable_or_repeated_field_is_an_error() {
+    let full = |more: &str| rtsp_message("RTSP/1.0 453 Full", 1, more, "");
+    let note = |more: &str| rtsp_message("ANNOUNCE rtsp://media/x RTSP/1.0", 4, more, "");
+    let release = |more: &str| rtsp_message("TEARDOWN rtsp://media/x RTSP/1.0", 2, more, "");
+    let replaced = |from: &str, to: &[u8]| {
+        let message = full("");
+        let at = message.windows(from.len()).position(|window| window == from.as_bytes()).expect("there");
+        [&message[..at], to, &message[at + from.len()..]].concat()
+    };
+    let session = "Session: 9b1f03aa5c7e2d41";
+    let cases: Vec<(&str, Vec<u8>)> = vec![
+        ("Content-Length", replaced("Content-Length: 0\r\n", b"")),
+        ("Content-Length", replaced("Content-Length: 0", b"Content-Length: \xc3\x28")),
+        ("Content-Length", replaced("Content-Length: 0", b"Content-Length: -0")),
+        ("Content-Length", full("Content-Length: 0\r\n")),
+        ("Session", replaced(session, b"Sessoin: 9b1f03aa5c7e2d41")),
+        ("Session", replaced(session, b"Session: +b1f03aa5c7e2d41")),
+        ("Session", replaced(session, b"Session: 9b1f03aa5c7e2d4")),
+        ("Session", replaced(session, b"Session: 9b1f03aa 5c7e2d41")),
+        ("Session", full(&format!("{session}\r\n"))),
+        ("CSeq", replaced("CSeq: 1", b"CSeq: +1")),
+        ("CSeq", replaced("CSeq: 1", b"Cseg: 1")),
+        ("CSeq", full("CSeq: 1\r\n")),
+        ("Reason", release("Reason: cause=1\u{e9}\r\n")),
+        ("Reason", release("Reason: cause=+16\r\n")),
+        ("Reason", release("Reason: cause=300\r\n")),
+        ("Reason", release("Reason: because\r\n")),
+        ("Reason", release("Reason: cause=16\r\nReason: cause=41\r\n")),
+        ("P-Load", full("P-Load: x1:1.\u{e9}\r\n")),
+        ("P-Load", full("P-Load: x1:NaN\r\n")),
+        ("P-Load", full("P-Load: x1:1;x1:2\r\n")),
+        ("P-Load", full("P-Load: x1:1\r\nP-Load: x1:1\r\n")),
+        ("X-Reading", note("Warning-Word: served\r\nX-Reading: inf\r\n")),
+        ("X-Reading", note("Warning-Word: served\r\n")),
+        ("Warning-Word", note("X-Reading: 1\r\n")),
+    ];
+    for (name, bytes) in cases {
+        let shown = String::from_utf8_lossy(&bytes).to_string();
+        assert_eq!(rtsp::read(&bytes), Err(rtsp::RtspError::Field(name)), "{shown}");
+    }
+    let report = LoadReport { uplink: Some(1.0), ..LoadReport::default() };
+    let (message, _) = rtsp::read(&full("P-Load: queue:?;x1:1;\r\n")).expect("valid").expect("complete");
+    let full = rtsp::FromStreamer::Rejected(ID, Outcome::QueueFull, report);
+    assert_eq!(message, full, "values under names that are not used may be anything");
+    assert_eq!(rtsp::read(b"RTSP/1.0 +20 OK\r\n"), Err(rtsp::RtspError::StartLine));
+}
+
 /// A message that never ends would otherwise be buffered without bound.
 #[test]
 fn an_oversized_message_of_a_streamer_is_an_error() {
--- a/tests/spoilt_answers.rs
+++ b/tests/spoilt_answers.rs
@@ -49,3 +49,41 @@
     assert_eq!(read_message(&mut viewer), (12, 0x711, vec![58, 0, 1, 16]));
     assert_eq!(rig.metric("malformed"), 0);
 }
+
+/// A streamer's answer to a set-up in which a part was replaced on its way.
+fn spoilt_answer(id: u64, part: &str, replacement: &[u8]) -> Vec<u8> {
+    let answer = established_response(id, "v=0\r\nc=IN IP4 127.0.0.1\r\n");
+    let at = answer.windows(part.len()).position(|window| window == part.as_bytes()).expect("there");
+    [&answer[..at], replacement, &answer[at + part.len()..]].concat()
+}
+
+/// Expects that an answer is not passed on: the request has failed, and the connection to the streamer ends.
+fn expect_failure(id: u64, answer: &[u8]) {
+    let rig = Rig::with_admin();
+    let (mut viewer, mut streamer) = with_open_set_up(&rig, id, "replay");
+    streamer.write_all(answer).expect("written");
+    let shown = String::from_utf8_lossy(answer);
+    assert_eq!(read_message(&mut viewer).0, 12, "not passed on as served: {shown:?}");
+    assert_eq!((rig.metric("malformed"), rig.metric("spoilt")), (1, 1), "{shown:?}");
+    assert_closed(streamer);
+}
+
+/// `review/8`: the line with the length of an answer could not be read. The answer was passed on as served, with an
+/// empty description that no streamer had made.
+#[test]
+fn an_answer_whose_length_is_unreadable_is_not_passed_on() {
+    let replacements: [&[u8]; 9] = [
+        b"Content-Length: \xff\xfe\r\n",
+        b"Content-Lenght: 25\r\n",
+        b"",
+        b"Content-Length: +25\r\n",
+        b"Content-Length: 2 5\r\n",
+        b"Content-Length: 0x19\r\n",
+        b"Content-Length:\r\n",
+        b"Content-Length: 25\r\nContent-Length: 25\r\n",
+        b"Content-Length: 25\r\ncontent-length: 0\r\n",
+    ];
+    for replacement in replacements {
+        expect_failure(0x721, &spoilt_answer(0x721, "Content-Length: 25\r\n", replacement));
+    }
+}
