Refuse signed and repeated values of viewers, and spoilt lines of discovery

A number with a sign was taken for one without, and of a parameter or key of a set-up that was there twice the last one counted. An event of discovery whose list was misspelt counted as one without a change, which was never asked for again, and empty lines counted as heartbeats, so that a source that sent nothing else was listened to for good.

Fix: numbers are digits alone; each parameter and key that a set-up has is there once; an event without a list that has an unknown field is asked for again; only a heartbeat or an event extends the time of the connection to discovery. What is not used may still be anything.

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -135,14 +135,14 @@
         }
         let read_result = connection.read();
         let (lines, oversized) = connection.take_messages(&mut self.lines);
-        if !lines.is_empty() {
-            (self.heard, self.first_line_timeout) = (true, HEARTBEAT_TIMEOUT_US);
-            self.set_deadline(shared, HEARTBEAT_TIMEOUT_US);
-        }
         let mut events = Vec::new();
         for line in lines.iter().filter(|line| !line.is_empty()) {
             match self.process_line(shared, line) {
-                Ok(event) => events.extend(event),
+                Ok(event) => {
+                    events.extend(event);
+                    (self.heard, self.first_line_timeout) = (true, HEARTBEAT_TIMEOUT_US);
+                    self.set_deadline(shared, HEARTBEAT_TIMEOUT_US);
+                }
                 Err(error) => {
                     self.connection_failed(shared, &error.to_string());
                     return events;
--- a/src/platform/discovery.rs
+++ b/src/platform/discovery.rs
@@ -2,11 +2,13 @@
 //!
 //! Discovery sends one message per line: an event that changes the streamer list or, every second, the number
 //! of the last event as a heartbeat.
-use super::MAX_MESSAGE_BYTES;
 use super::framing::{Decoded, Decoder};
+use super::{MAX_MESSAGE_BYTES, parse_digits};
 use crate::interface::{Entry, ListScope, Micros, Standing};
 use crate::settings::{NameRegistry, NamedEntry};
 use serde::Deserialize;
+use serde::de::IgnoredAny;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 /// Maximum length of a line, which may hold the full list of a large fleet.
@@ -18,6 +20,9 @@
     /// The line is not JSON of the expected form.
     #[error("invalid line: {0}")]
     Json(#[from] serde_json::Error),
+    /// An event has no list, but a field that is not known: it may be the list's, misspelt on its way.
+    #[error("event {0} has no list, and an unknown field")]
+    UnknownField(u64),
 }
 
 /// A list entry that can't be used as it is.
@@ -129,12 +134,23 @@
 
 /// Parses a line without its line feed.
 pub fn parse_line(line: &[u8]) -> Result<Message, DiscoveryError> {
-    match std::str::from_utf8(line).ok().and_then(|text| text.trim().parse().ok()) {
+    match std::str::from_utf8(line).ok().and_then(|text| parse_digits(text.trim())) {
         Some(last) => Ok(Message::Heartbeat(last)),
-        None => Ok(Message::Event(serde_json::from_slice(line)?)),
+        None => parse_event(line).map(Message::Event),
     }
 }
 
+fn parse_event(line: &[u8]) -> Result<Event, DiscoveryError> {
+    let event: Event = serde_json::from_slice(line)?;
+    if event.update.is_none() {
+        let fields: BTreeMap<String, IgnoredAny> = serde_json::from_slice(line)?;
+        if fields.keys().any(|name| name != "no" && name != "roster") {
+            return Err(DiscoveryError::UnknownField(event.number));
+        }
+    }
+    Ok(event)
+}
+
 impl Event {
     /// Whether it contains the full list, so that the events before it are not needed.
     pub fn is_full_list(&self) -> bool {
--- a/src/platform/viewer.rs
+++ b/src/platform/viewer.rs
@@ -2,9 +2,10 @@
 //!
 //! A message is `length:2 type:1 session:8 parameters`, a parameter `code:1 length:2 value`. Numbers are
 //! big-endian. The length of a message does not include the length field itself.
-use super::MAX_MESSAGE_BYTES;
 use super::framing::{Decoded, Decoder};
+use super::{MAX_MESSAGE_BYTES, parse_digits};
 use crate::interface::RequestId;
+use std::collections::BTreeSet;
 
 /// Length of the field that holds the length of a message.
 const LENGTH_BYTES: usize = 2;
@@ -30,6 +31,12 @@
 const PARAM_CAUSE: u8 = 58;
 const PARAM_DESCRIPTION: u8 = 61;
 
+/// The parameters of a set-up. Each is there once at most; others are ignored.
+const SET_UP_PARAMETERS: [u8; 6] =
+    [PARAM_CLASS, PARAM_WAIT, PARAM_RETRY, PARAM_TITLE, PARAM_ATTRIBUTES, PARAM_DESCRIPTION];
+/// The keys in [`PARAM_ATTRIBUTES`]. Each is there once at most; others are ignored.
+const ATTRIBUTES: [&str; 6] = ["home", "copies", "top", "viewer", "again", "at"];
+
 /// Cause in a release of a session that ran to completion.
 pub const CAUSE_ENDED: u8 = 16;
 /// Cause in a refusal. A retry is harmless.
@@ -56,8 +63,8 @@
     /// A text parameter is not valid UTF-8.
     #[error("parameter {0} is not valid UTF-8")]
     NotUtf8(u8),
-    /// A required parameter of a set-up is missing, or a parameter of a set-up is invalid.
-    #[error("parameter {0} of a set-up is missing or invalid")]
+    /// A required parameter of a set-up is missing, or a parameter of a set-up is invalid or there twice.
+    #[error("parameter {0} of a set-up is missing, invalid or there twice")]
     SetUpParameter(u8),
 }
 
@@ -160,10 +167,14 @@
     }
     let mut set_up = SetUp { session, ..SetUp::default() };
     let (mut class, mut title, mut has_attributes) = (None, None, false);
+    let mut seen = BTreeSet::new();
     while let [code, high, low, rest @ ..] = parameters {
         let length = usize::from(u16::from_be_bytes([*high, *low]));
         let value = rest.get(..length).ok_or(ViewerError::TruncatedParameter)?;
         parameters = &rest[length..];
+        if SET_UP_PARAMETERS.contains(code) && !seen.insert(*code) {
+            return Err(ViewerError::SetUpParameter(*code));
+        }
         if *code == PARAM_DESCRIPTION {
             set_up.description = value.to_vec();
             continue;
@@ -174,7 +185,7 @@
             PARAM_CLASS => class = Some(text()?.to_owned()),
             PARAM_TITLE => title = Some(text()?.to_owned()),
             PARAM_WAIT => {
-                set_up.wait_ms = Some(text()?.parse().map_err(|_| ViewerError::SetUpParameter(PARAM_WAIT))?)
+                set_up.wait_ms = Some(parse_digits(text()?).ok_or(ViewerError::SetUpParameter(PARAM_WAIT))?)
             }
             PARAM_RETRY => set_up.retry = text()? == "1",
             PARAM_ATTRIBUTES => has_attributes = parse_attributes(&mut set_up, text()?)?,
@@ -205,9 +216,13 @@
 /// Parses the `key:value` pairs of the attributes parameter. Returns whether all required ones are present.
 fn parse_attributes(set_up: &mut SetUp, text: &str) -> Result<bool, ViewerError> {
     let (mut has_start_cell, mut has_cells) = (false, false);
+    let mut seen = BTreeSet::new();
     for pair in text.split(';') {
         let Some((key, value)) = pair.split_once(':') else { continue };
-        let number = || value.parse::<u32>().map_err(|_| ViewerError::SetUpParameter(PARAM_ATTRIBUTES));
+        let number = || parse_digits::<u32>(value).ok_or(ViewerError::SetUpParameter(PARAM_ATTRIBUTES));
+        if ATTRIBUTES.contains(&key) && !seen.insert(key) {
+            return Err(ViewerError::SetUpParameter(PARAM_ATTRIBUTES));
+        }
         match key {
             "home" => (set_up.start_cell, has_start_cell) = (number()?, true),
             "copies" => (set_up.cells_in_row, has_cells) = (number()?, true),
--- a/tests/codecs.rs
+++ b/tests/codecs.rs
@@ -338,3 +338,60 @@
         assert!(error.to_string().contains("correct it in the list"), "the error says what to do: {error}");
     }
 }
+
+/// A value with a sign was taken for one without, and of a parameter that was there twice the last one counted: the viewer
+/// can't have meant both.
+#[test]
+fn a_set_up_with_a_signed_or_repeated_value_is_unusable() {
+    const ATTRIBUTES: &[u8] = b"home:4;copies:3;top:2;viewer:b4";
+    let whole: [(u8, &[u8]); 6] =
+        [(16, b"paid"), (19, b"1500"), (25, b"1"), (28, b"7f3a"), (31, ATTRIBUTES), (61, b"offer")];
+    let parse = |parameters: &[(u8, &[u8])]| match viewer::read(&viewer_message(1, parameters)) {
+        Ok(Some((viewer::ViewerMessage::Unusable(_, why), _))) => Some(why),
+        Ok(Some((viewer::ViewerMessage::SetUp(_), _))) => None,
+        other => panic!("{other:?}"),
+    };
+    assert_eq!(parse(&whole), None);
+    for (code, value) in whole {
+        let repeated: Vec<_> = whole.into_iter().chain([(code, value)]).collect();
+        assert_eq!(parse(&repeated), Some(viewer::ViewerError::SetUpParameter(code)));
+    }
+    let unknown: Vec<_> = whole.into_iter().chain([(99, &b"x"[..]), (99, b"y")]).collect();
+    assert_eq!(parse(&unknown), None, "parameters that are not used may be anything");
+    let with = |code: u8, value: &'static [u8]| {
+        let replaced = whole.into_iter().map(|(c, v)| if c == code { (c, value) } else { (c, v) });
+        parse(&replaced.collect::<Vec<_>>())
+    };
+    assert_eq!(with(19, b"+1500"), Some(viewer::ViewerError::SetUpParameter(19)));
+    for attributes in [
+        &b"home:+4;copies:3;top:2;viewer:b4"[..],
+        b"home:4;home:5;copies:3;top:2;viewer:b4",
+        b"home:4;copies:3;top:2;viewer:b4;viewer:b5",
+        b"home:4;copies:3;top:2;viewer:b4;at:s-1;at:s-2",
+    ] {
+        assert_eq!(with(31, attributes), Some(viewer::ViewerError::SetUpParameter(31)));
+    }
+}
+
+/// The number with a sign was taken for a heartbeat, and an event whose list was misspelt for one without a list: its change
+/// was never asked for again.
+#[test]
+fn a_line_of_discovery_that_is_not_as_it_was_written_is_an_error() {
+    let list = r#"{"members":[]}"#;
+    for line in [
+        "+41",
+        "-41",
+        "4 1",
+        r#"{"no":+41}"#,
+        &format!(r#"{{"no":41,"rosteR":{list}}}"#),
+        &format!(r#"{{"no":41,"no":42,"roster":{list}}}"#),
+        &format!(r#"{{"no":41,"roster":{list},"roster":{list}}}"#),
+        &format!(r#"{{"on":41,"roster":{list}}}"#),
+        r#"{"no":41,"roster":{"membres":[]}}"#,
+    ] {
+        assert!(discovery::parse_line(line.as_bytes()).is_err(), "{line}");
+    }
+    for line in [r#"{"no":41}"#, &format!(r#"{{"no":41,"roster":{list},"more":1}}"#), " 41 "] {
+        assert!(discovery::parse_line(line.as_bytes()).is_ok(), "{line}");
+    }
+}
--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -119,6 +119,30 @@
     assert_eq!(accept_request(&rig.discovery).1, "after 1");
 }
 
+/// Empty lines counted as heartbeats: a source that sent nothing else was listened to for good.
+#[test]
+fn a_connection_with_empty_lines_in_place_of_heartbeats_is_closed() {
+    let rig = Rig::start();
+    let (mut source, _) = accept_request(&rig.discovery);
+    let stopped = std::sync::atomic::AtomicBool::new(false);
+    std::thread::scope(|scope| {
+        scope.spawn(|| {
+            while !stopped.load(std::sync::atomic::Ordering::SeqCst) && source.write_all(b"\n\n").is_ok() {
+                std::thread::sleep(Duration::from_millis(100));
+            }
+        });
+        rig.discovery.set_nonblocking(true).expect("set");
+        let started = Instant::now();
+        let mut next = None;
+        while next.is_none() && started.elapsed() < Duration::from_secs(6) {
+            next = rig.discovery.accept().ok();
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        stopped.store(true, std::sync::atomic::Ordering::SeqCst);
+        assert!(next.is_some(), "another connection within 6 s");
+    });
+}
+
 /// A source that said its first line later than the time allowed between lines was given up each time, and never
 /// heard: the director went on sending to a streamer that drained.
 #[test]
