Don't pass on answers whose length does not fit the description

Cause: the length alone delimited the description; what was behind it in the same read was looked at only as the next message, after the answer was passed on.

Fix: a description that is passed on must be followed by nothing, by empty lines or by what may begin a message of the protocol, and must hold no start line of a message; else the message is malformed. Only bytes that have been read are looked at, and no answer waits for more.

Tests: spoilt_answers.rs `an_answer_whose_length_does_not_fit_...`; `answers_with_any_ description_...` guards against refusing good ones.

--- a/src/platform/rtsp/decoder.rs
+++ b/src/platform/rtsp/decoder.rs
@@ -3,6 +3,7 @@
 //! `httparse` parses the header lines but rejects RTSP start lines (`httparse::Request::parse` returns
 //! `Error::Version` for `SETUP rtsp://media/x RTSP/1.0`; a test in `tests/codecs.rs` checks this), so start lines
 //! are parsed here. Each line is parsed as it is complete, so that a malformed one is found at once.
+use super::boundary::{StartLineSearch, may_start_message};
 use super::fields::HeaderFields;
 use super::{
     CSEQ_PROBE, CSEQ_RELEASE, CSEQ_SET_UP, Decoded, Decoder, FromStreamer, MAX_MESSAGE_BYTES, RtspError,
@@ -39,6 +40,7 @@
     fields: HeaderFields,
     /// Where the body is, once the head is complete.
     body: Option<Range<usize>>,
+    start_line_in_body: StartLineSearch,
 }
 
 impl Decoder for MessageDecoder {
@@ -111,14 +113,31 @@
         let (Some(range), Some(start_line)) = (&self.body, &self.start_line) else {
             return Ok(Decoded::Incomplete);
         };
+        let available = range.end.min(bytes.len());
+        if self.start_line_in_body.finds_in(bytes.get(range.start..available).unwrap_or_default()) {
+            return Err(RtspError::Length);
+        }
         let Some(body) = bytes.get(range.clone()) else { return Ok(Decoded::Incomplete) };
         let message = parse_message(start_line, &self.fields, body)?;
+        let (_, rest) = bytes.split_at(range.end);
+        if carries_description(&message) && !may_start_message(rest) {
+            return Err(RtspError::Length);
+        }
         let length = range.end;
         *self = MessageDecoder::default();
         Ok(Decoded::Message(message, length))
     }
 }
 
+/// Whether a message has a description that is passed on. Others are as good whatever follows them.
+fn carries_description(message: &FromStreamer) -> bool {
+    match message {
+        FromStreamer::Established(..) => true,
+        FromStreamer::Released(_, _, description, _) => !description.is_empty(),
+        _ => false,
+    }
+}
+
 fn parse_start_line(line: &[u8]) -> Result<StartLine, RtspError> {
     let line = std::str::from_utf8(line).map_err(|_| RtspError::StartLine)?;
     let line = line.trim_end_matches('\n').trim_end_matches('\r');
--- a/src/platform/rtsp/mod.rs
+++ b/src/platform/rtsp/mod.rs
@@ -1,4 +1,5 @@
 //! Codec of the RTSP messages exchanged with streamers.
+mod boundary;
 mod decoder;
 mod fields;
 
@@ -37,6 +38,9 @@
     /// A required header field is missing, or a field is invalid or there twice.
     #[error("header field {0} is missing, invalid or there twice")]
     Field(&'static str),
+    /// The length does not fit: the message is followed by what is no message, or has one in its description.
+    #[error("Content-Length does not fit the description")]
+    Length,
     /// The message is longer than [`MAX_MESSAGE_BYTES`].
     #[error("message exceeds {MAX_MESSAGE_BYTES} bytes")]
     TooLong,
--- a/tests/spoilt_answers.rs
+++ b/tests/spoilt_answers.rs
@@ -87,3 +87,54 @@
         expect_failure(0x721, &spoilt_answer(0x721, "Content-Length: 25\r\n", replacement));
     }
 }
+
+/// The length of an answer was too short or too long: it was passed on as served with a description that was cut, or that
+/// had the next message in it.
+#[test]
+fn an_answer_whose_length_does_not_fit_is_not_passed_on() {
+    for length in ["0", "12", "20", "24"] {
+        let replacement = format!("Content-Length: {length}\r\n");
+        let answer = spoilt_answer(0x731, "Content-Length: 25\r\n", replacement.as_bytes());
+        if length != "24" {
+            expect_failure(0x731, &answer);
+        }
+        // What follows the rest does not make it good.
+        expect_failure(0x731, &[answer, b"x".to_vec()].concat());
+    }
+    for (length, next) in
+        [(27, teardown(0x7)), (53, teardown(0x7)), (99, established_response(0x7, "answer"))]
+    {
+        let replacement = format!("Content-Length: {length}\r\n");
+        let answer = spoilt_answer(0x732, "Content-Length: 25\r\n", replacement.as_bytes());
+        expect_failure(0x732, &[answer, next].concat());
+    }
+}
+
+/// Descriptions are opaque: one that resembles a message is passed on, and so are answers right behind each other.
+#[test]
+fn answers_with_any_description_are_passed_on() {
+    let rig = Rig::with_admin();
+    let mut viewer = rig.viewer();
+    let descriptions = [
+        "a=control:rtsp://media/x\r\nRTSP/1.0\tis no start line\r\n",
+        "TEARDOWN rtsp://media/",
+        "\r\n\r\n",
+        "",
+    ];
+    let mut streamer = None;
+    let mut answers = Vec::new();
+    for (index, description) in descriptions.iter().enumerate() {
+        viewer.write_all(&set_up(0x741 + index as u64, "seat-view")).expect("written");
+        let streamer = streamer.get_or_insert_with(|| rig.streamer());
+        assert!(read_rtsp(streamer).starts_with("SETUP"));
+        answers.push(established_response(0x741 + index as u64, description));
+    }
+    answers.push(note(0x741));
+    streamer.expect("connected").write_all(&answers.concat()).expect("written");
+    for (index, description) in descriptions.iter().enumerate() {
+        let (kind, id, parameters) = read_message(&mut viewer);
+        assert_eq!((kind, id), (9, 0x741 + index as u64));
+        assert_eq!(&parameters[3..], description.as_bytes());
+    }
+    assert_eq!(rig.metric("malformed"), 0);
+}
