--- a/crates/continuity/src/coordinator/end_sessions.rs
+++ b/crates/continuity/src/coordinator/end_sessions.rs
@@ -46,8 +46,8 @@
         self.ending.entry(id).or_insert(EndingSession { streamer, retry_at, tries: 1 });
     }
 
-    /// A streamer confirmed that a session is over there. Other streamers than that where it is being ended say
-    /// nothing of it: an attempt that was answered late may have been released at one.
+    /// A streamer confirmed that a session is over there. Other streamers than that where it is being ended
+    /// say nothing of it: an attempt that was answered late may have been released at one.
     pub fn end_confirmed(&mut self, now: Micros, id: Id, streamer: &str) {
         self.now = self.now.max(now);
         if self.ending.get(&id).is_some_and(|ending| ending.streamer == streamer) {
--- a/crates/core/src/director/ledger/handovers.rs
+++ b/crates/core/src/director/ledger/handovers.rs
@@ -284,8 +284,8 @@
         }
     }
 
-    /// Lets the transport forget the name of a streamer that is neither listed nor waited for, and at which no
-    /// end is kept.
+    /// Lets the transport forget the name of a streamer that is neither listed nor waited for, and at which
+    /// no end is kept.
     fn forget_unlisted(&self, streamer: StreamerId, out: &mut Outbox) {
         let is_known = self.streamers.contains_key(&streamer)
             || self.waiting.by_streamer.contains_key(&streamer)
--- a/crates/core/src/director/ledger/outbox.rs
+++ b/crates/core/src/director/ledger/outbox.rs
@@ -12,8 +12,8 @@
     pub(in crate::director) events: Vec<Event>,
     pub(in crate::director) outputs: Vec<Output>,
     pub(in crate::director) counters: Counters,
-    /// What was last released at streamers, oldest first. A streamer may not have heard of it when a successor
-    /// takes over what still plays there.
+    /// What was last released at streamers, oldest first. A streamer may not have heard of it when a
+    /// successor takes over what still plays there.
     pub(in crate::director) recent_releases: VecDeque<SessionAtStreamer>,
 }
 
--- a/crates/core/src/director/ledger/succession.rs
+++ b/crates/core/src/director/ledger/succession.rs
@@ -48,9 +48,9 @@
         self.inherited_rungs.extend(rungs);
     }
 
-    /// Loads what the previous process has left. Its rungs apply once their sessions are handed over, and
-    /// so do the ends. Of the sessions held already, those end that viewers have ended at the previous
-    /// process. Those that it released itself do not: they were set up anew here, or play at another streamer.
+    /// Loads what the previous process has left. Its rungs apply once their sessions are handed over, and so
+    /// do the ends. Of the sessions held already, those end that viewers have ended at the previous process.
+    /// Those that it released itself do not: they were set up anew here, or play at another streamer.
     pub(in crate::director) fn inherit(&mut self, now: Micros, handover: Handover, out: &mut Outbox) {
         self.restore_rungs(handover.rungs);
         self.inherited_at = Some(now);
--- a/crates/core/src/director/messages.rs
+++ b/crates/core/src/director/messages.rs
@@ -41,8 +41,8 @@
 pub struct Handover {
     /// The established sessions, with their rungs.
     pub rungs: Vec<(RequestId, usize)>,
-    /// Sessions that viewers have ended and that this process did not hold: the other one may. They have ended
-    /// wherever they play.
+    /// Sessions that viewers have ended and that this process did not hold: the other one may. They have
+    /// ended wherever they play.
     pub ended: Vec<RequestId>,
     /// What this process has released lately at streamers, which may not have heard of it yet.
     pub released: Vec<SessionAtStreamer>,
--- a/src/net/estate.rs
+++ b/src/net/estate.rs
@@ -1,6 +1,6 @@
 //! The hand-over file between two processes of a director, in a shared folder: the rungs of the established
-//! sessions, and ends of sessions that only one of the two knows, of some only at one streamer. This module owns the file; whether there
-//! is a successor, and what becomes of the contents, is decided elsewhere.
+//! sessions, and ends of sessions that only one of the two knows, of some only at one streamer. This module
+//! owns the file; whether there is a successor, and what becomes of the contents, is decided elsewhere.
 //!
 //! A file is complete or absent: it is written under a temporary name and renamed. It is read once, and
 //! removed.
@@ -67,8 +67,8 @@
     /// Sessions that were released at some streamer. Only earlier versions, which take them to have ended
     /// everywhere, rely on it: established sessions are not among them.
     released: Vec<u64>,
-    /// The first one is the encoded [`EndsAtStreamers`]. Earlier versions pass over it, since it is no message
-    /// that ends a session.
+    /// The first one is the encoded [`EndsAtStreamers`]. Earlier versions pass over it, since it is no
+    /// message that ends a session.
     unsent_ends: Vec<Vec<u8>>,
 }
 
--- a/src/net/estate/tests.rs
+++ b/src/net/estate/tests.rs
@@ -47,8 +47,9 @@
     assert_eq!(estate, Estate { rungs: vec![(RequestId(7), 3)], ..Estate::default() });
 }
 
-/// The version before told which sessions it had released, and not at which streamers: a session that was answered late at
-/// one and played at another was ended there. Those that stand are left out of what it is told, and of what it tells.
+/// The version before told which sessions it had released, and not at which streamers: a session that was
+/// answered late at one and played at another was ended there. Those that stand are left out of what it is
+/// told, and of what it tells.
 #[test]
 fn the_version_before_tells_and_is_told_only_of_released_sessions_that_stand_nowhere() {
     let unsent_ends = vec![crate::platform::viewer::release(RequestId(5), 16)];
--- a/src/net/read_buffer.rs
+++ b/src/net/read_buffer.rs
@@ -1,5 +1,5 @@
-//! The bytes that were read from a connection and are not consumed yet. Their number is bounded here for every
-//! kind of peer, whatever the bytes are.
+//! The bytes that were read from a connection and are not consumed yet. Their number is bounded here for
+//! every kind of peer, whatever the bytes are.
 use crate::platform::framing::{Decoded, Decoder};
 
 /// Most bytes of capacity that a drained buffer keeps.
--- a/src/net/read_buffer/tests.rs
+++ b/src/net/read_buffer/tests.rs
@@ -7,8 +7,8 @@
 /// Bytes that a peer sends in a test.
 const SENT: usize = 4 * 1024 * 1024;
 
-/// Feeds repetitions of `pattern` until they are refused. Returns the largest number of bytes that were held after a
-/// read, and whether they were refused.
+/// Feeds repetitions of `pattern` until they are refused. Returns the largest number of bytes that were held
+/// after a read, and whether they were refused.
 fn largest_held<D: Decoder>(mut decoder: D, pattern: &[u8]) -> (usize, bool) {
     let chunk: Vec<u8> = pattern.iter().copied().cycle().take(CHUNK).collect();
     let (mut buffer, mut largest) = (ReadBuffer::default(), 0);
--- a/src/net/streamers/control.rs
+++ b/src/net/streamers/control.rs
@@ -48,7 +48,8 @@
     }
 }
 
-/// The messages about sessions that were last written to a connection, and that its streamer may not have read.
+/// The messages about sessions that were last written to a connection, and that its streamer may not have
+/// read.
 #[derive(Debug, Default)]
 pub struct WrittenControl(VecDeque<(Micros, ControlMessage)>);
 
--- a/src/net/streamers/input_loss.rs
+++ b/src/net/streamers/input_loss.rs
@@ -1,8 +1,9 @@
 //! Records that the last input from a streamer may have been lost with a connection.
 //!
-//! A streamer sends a release on an open connection and once more on the next connection that is opened to it.
-//! If the first one is lost, only a further connection brings the release. The loss therefore stays on record
-//! until a connection is established that was begun after the loss; an attempt that fails changes nothing.
+//! A streamer sends a release on an open connection and once more on the next connection that is opened to
+//! it. If the first one is lost, only a further connection brings the release. The loss therefore stays on
+//! record until a connection is established that was begun after the loss; an attempt that fails changes
+//! nothing.
 use crate::interface::Micros;
 
 /// Time within which a viewer has to be told of the end of its session. While it has not passed, connections
--- a/src/net/streamers/io.rs
+++ b/src/net/streamers/io.rs
@@ -30,7 +30,8 @@
                 (pool.last_received_at, pool.failing_since) = (shared.now, None);
                 if pool.input_loss.connection_established(connection.losses_at_begin) {
                     shared.counters.inputs_recovered += 1;
-                    debug!(shared.log, "connection established after a loss of input"; "streamer" => streamer.0);
+                    debug!(shared.log, "connection established after a loss of input";
+                        "streamer" => streamer.0);
                 }
                 let control_messages = pool.unsent_control.drain(..);
                 connection.queue.extend(control_messages.map(|(_, message)| QueuedMessage::Control(message)));
--- a/src/net/streamers/pool.rs
+++ b/src/net/streamers/pool.rs
@@ -130,14 +130,15 @@
         let Some(connection) = self.connections.get_mut(&token) else { return };
         if connection.last_received_at < shared.now {
             connection.input_complete = !connection.socket.has_partial_message();
-            connection.written_control = WrittenControl::default(); // an orderly close delivers what was written
+            // An orderly close delivers what was written.
+            connection.written_control = WrittenControl::default();
             self.close(shared, token);
         }
     }
 
-    /// Records a loss of input for each connection on which a message is overdue. A message that stops short or
-    /// never arrives shows that nothing else may arrive on that connection, though it stays open and others to
-    /// the same streamer are in use.
+    /// Records a loss of input for each connection on which a message is overdue. A message that stops short
+    /// or never arrives shows that nothing else may arrive on that connection, though it stays open and
+    /// others to the same streamer are in use.
     fn doubt_overdue_connections(&mut self, shared: &mut Shared) {
         for connection in self.connections.values_mut().filter(|connection| connection.connected) {
             if connection.becomes_doubtful(shared.now)
@@ -234,7 +235,7 @@
             let needs_connection = pool.connections.is_empty() && (has_sessions || control_due);
             let input_lost = has_sessions && pool.input_loss.retry_is_due(now);
             if input_lost && pool.input_loss.report_overdue(now) {
-                warn!(shared.log, "a release may be lost: no new connection to the streamer can be established";
+                warn!(shared.log, "no new connection to a streamer; a release may be lost";
                     "streamer" => streamer.0);
             }
             if !dialing && (needs_connection || silent || input_lost) && pool.next_dial_at <= now {
--- a/src/platform/framing.rs
+++ b/src/platform/framing.rs
@@ -1,7 +1,7 @@
 //! Splits a stream of bytes into messages.
 //!
-//! A decoder is asked again with the same bytes and those that followed. It remembers how far it has looked, so
-//! that no byte is examined once for every read.
+//! A decoder is asked again with the same bytes and those that followed. It remembers how far it has looked,
+//! so that no byte is examined once for every read.
 
 /// One step of decoding.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/src/platform/rtsp/boundary.rs
+++ b/src/platform/rtsp/boundary.rs
@@ -1,7 +1,7 @@
 //! Signs that the length in a message does not fit: the description that it delimits is not the streamer's.
 //!
-//! A length that is too short leaves the rest of the description behind the message, one that is too long takes
-//! the next message for a part of the description. Only bytes that have been read can show it.
+//! A length that is too short leaves the rest of the description behind the message, one that is too long
+//! takes the next message for a part of the description. Only bytes that have been read can show it.
 
 const VERSION: &[u8] = b"RTSP/1.0";
 /// What each request begins with after its method.
--- a/src/platform/rtsp/decoder.rs
+++ b/src/platform/rtsp/decoder.rs
@@ -1,8 +1,8 @@
 //! Decoder of the messages from streamers.
 //!
 //! `httparse` parses the header lines but rejects RTSP start lines (`httparse::Request::parse` returns
-//! `Error::Version` for `SETUP rtsp://media/x RTSP/1.0`; a test in `tests/codecs.rs` checks this), so start lines
-//! are parsed here. Each line is parsed as it is complete, so that a malformed one is found at once.
+//! `Error::Version` for `SETUP rtsp://media/x RTSP/1.0`; a test in `tests/codecs.rs` checks this), so start
+//! lines are parsed here. Each line is parsed as it is complete, so that a malformed one is found at once.
 use super::boundary::{StartLineSearch, may_start_message};
 use super::fields::HeaderFields;
 use super::{
--- a/src/platform/rtsp/fields.rs
+++ b/src/platform/rtsp/fields.rs
@@ -1,7 +1,8 @@
 //! The header fields of a message from a streamer.
 //!
-//! A field that is absent and one that can't be read are different things: the first may be allowed, the second
-//! shows that the message is not as the streamer wrote it. The same goes for a field that is there twice.
+//! A field that is absent and one that can't be read are different things: the first may be allowed, the
+//! second shows that the message is not as the streamer wrote it. The same goes for a field that is there
+//! twice.
 use super::RtspError;
 use crate::interface::{LoadReport, NoteKind, RequestId};
 use crate::platform::parse_digits;
