--- a/src/net/lifecycle.rs
+++ b/src/net/lifecycle.rs
@@ -3,6 +3,7 @@
 //! The lifecycle itself is decided in the core (`director::Lifecycle`).
 use super::poll::Token;
 use super::shared::Deadline;
+use super::viewers::CloseReason;
 use super::{Node, signals};
 use crate::director::{ClientActions, CloseScope, Input, Output};
 use crate::interface::{Micros, RequestId};
@@ -116,6 +117,8 @@
         if expire_pending {
             warn!(self.shared.log, "pending requests are answered now, since clients have to disconnect");
             self.shared.inputs.push(Input::Hurry);
+            // At the end of this turn no request is open on any of them. The next poll may find new ones.
+            self.components.viewers.close_all(&self.shared, CloseReason::Drain);
         }
         if close != CloseScope::None {
             self.components.viewers.close_idle_connections(
@@ -199,7 +202,7 @@
         self.components.streamers.flush(&mut self.shared);
         self.write_estate(Vec::new()); // in case the platform kills the process before its end
         self.components.peers.iter_mut().for_each(|peers| peers.leave(&mut self.shared));
-        self.components.viewers.close_all(&self.shared);
+        self.components.viewers.close_all(&self.shared, CloseReason::End);
         if self.components.viewers.has_pending_writes() || self.components.streamers.has_unwritten() {
             info!(self.shared.log, "waits for its last messages to be written");
         }
--- a/src/net/viewers/closing.rs
+++ b/src/net/viewers/closing.rs
@@ -54,10 +54,11 @@
         }
     }
 
-    /// Begins to close all connections because the process is shutting down.
-    pub fn close_all(&mut self, shared: &Shared) {
+    /// Begins to close all connections. Each is shut down for writing at the end of the first turn in which
+    /// no request on it is open.
+    pub fn close_all(&mut self, shared: &Shared, reason: CloseReason) {
         let tokens: Vec<Token> = self.connections.keys().copied().collect();
-        tokens.into_iter().for_each(|token| self.begin_close(shared, token, CloseReason::End));
+        tokens.into_iter().for_each(|token| self.begin_close(shared, token, reason));
     }
 
     /// Marks a connection to be shut down once nothing on it is pending or unwritten.
@@ -137,6 +138,7 @@
                 .get(&token)
                 .is_some_and(|connection| connection.socket.has_partial_message());
             if !(may_await_partial && has_partial) {
+                shared.counters.viewers_sent_away += u64::from(reason == CloseReason::Drain);
                 self.shut_down_write(shared, token, reason);
             }
         }
--- a/src/net/viewers/connection.rs
+++ b/src/net/viewers/connection.rs
@@ -62,7 +62,7 @@
     Silent,
     /// It was evicted in favour of a new connection.
     Room,
-    /// It was idle while the director sends its clients away, as a lame duck or before it stops.
+    /// The director sends its clients away, as a lame duck or before it stops.
     Drain,
     /// The process is shutting down.
     End,
--- a/tests/idle_closes.rs
+++ b/tests/idle_closes.rs
@@ -13,6 +13,8 @@
 const FIRST_CHECK: Duration = Duration::from_millis(1_700);
 /// Time after which unused connections are closed when clients are sent away, and a little more.
 const UNUSED_CLOSE: Duration = Duration::from_millis(700);
+/// Time after the lame-duck call at which no connection may be in use.
+const LAME_DUCK_CHECK: Duration = Duration::from_secs(4);
 /// Time without any message or progress after which a connection is closed, and several checks more.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(7_500);
 /// Answer to a set-up of a class that does not exist.
@@ -179,3 +181,42 @@
     viewer.write_all(&message(12, 0x560, &[(58, &[16])])).expect("written");
     assert!(read_rtsp(&mut streamer).starts_with("TEARDOWN"), "on the same connection");
 }
+
+/// `review/9`: as a lame duck the director closed a connection only if no request on it was open at a poll. One with
+/// requests in quick succession was served for as long as the call was in force.
+#[test]
+fn a_lame_duck_closes_a_connection_on_which_requests_keep_coming() {
+    let rig = Rig::with_admin();
+    let mut viewer = rig.viewer();
+    let mut sender = viewer.try_clone().expect("cloned");
+    assert_eq!(rig.admin_call("PUT", "/_lameduck/on").0, 200);
+    let called_at = std::time::Instant::now();
+    let sending = std::thread::spawn(move || {
+        let mut sent = Vec::new();
+        for id in 0x9000_u64.. {
+            // The streamer answers none of them, so that one is open at all times.
+            if called_at.elapsed() > LAME_DUCK_CHECK || sender.write_all(&set_up(id, "replay")).is_err() {
+                break;
+            }
+            sent.push((id, std::time::Instant::now()));
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        sent
+    });
+    let mut answered = std::collections::BTreeSet::new();
+    let mut length = [0; 2];
+    while viewer.read_exact(&mut length).is_ok() {
+        let mut body = vec![0; usize::from(u16::from_be_bytes(length))];
+        viewer.read_exact(&mut body).expect("a whole message");
+        assert_eq!(body[0], 12, "no session stands");
+        let id = u64::from_be_bytes(body[1..9].try_into().expect("eight bytes"));
+        assert!(answered.insert(id), "answered once");
+    }
+    let closed_at = std::time::Instant::now();
+    assert!(closed_at - called_at < LAME_DUCK_CHECK, "open {:?} after the call", closed_at - called_at);
+    drop(viewer);
+    for (id, at) in sending.join().expect("sent") {
+        // What crosses the close is sent again elsewhere.
+        assert!(answered.contains(&id) || at + Duration::from_millis(50) > closed_at, "{id:x} is unanswered");
+    }
+}
